--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'eslint.config.js'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'eslint.config.js'] },
   eslint.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
--- /dev/null
+++ b/packages/direct/src/admission.ts
@@ -0,0 +1,62 @@
+import type { Millis } from '@rosedeck/shared';
+
+/** What is known of a request's prospects when it is turned away or queued. */
+export interface Prospects {
+  /** Requests that go before it. */
+  readonly ahead: number;
+  /** Connections that serve the same kind of work. */
+  readonly connections: number;
+  /** Usual time that one request keeps a connection. */
+  readonly holdMs: Millis;
+  /** Expected time until the group has a primary; 0 when it has one or needs none. */
+  readonly primaryWaitMs: Millis;
+  readonly aimMs: Millis;
+  /** Time left until the statement's own limit. */
+  readonly leftMs: Millis;
+}
+
+/** Whether a request is queued, or refused with a time to come back. */
+export type Admission =
+  | { readonly kind: 'queue' }
+  | {
+      readonly kind: 'refuse';
+      readonly reason: 'overloaded' | 'group_unavailable';
+      readonly waitMs: Millis;
+    };
+
+/** Expected wait for a connection behind the requests ahead. */
+export function expectedWaitMs(prospects: Prospects): Millis {
+  return ((prospects.ahead + 1) * prospects.holdMs) / Math.max(1, prospects.connections);
+}
+
+/**
+ * Refuses at once what cannot start within its share of the objective. Answers more arrivals than
+ * connections, and a group without a primary: callers can still try another daemon in time.
+ */
+export function admit(prospects: Prospects, queueShare: number): Admission {
+  const waitMs = expectedWaitMs(prospects);
+  const boundMs = Math.min(prospects.aimMs * queueShare, prospects.leftMs);
+  if (prospects.primaryWaitMs > boundMs)
+    return { kind: 'refuse', reason: 'group_unavailable', waitMs: prospects.primaryWaitMs };
+  if (waitMs > boundMs) return { kind: 'refuse', reason: 'overloaded', waitMs };
+  return { kind: 'queue' };
+}
+
+/** Spread of the time to come back, so that refused callers do not return together. */
+const SPREAD = 0.5;
+
+/** Least time to come back: a shorter one only adds load. */
+const MIN_RETRY_AFTER_MS = 20;
+
+/** The time after which a refused caller should come back. */
+export function retryAfterMs(waitMs: Millis, random: () => number): Millis {
+  return Math.round(Math.max(MIN_RETRY_AFTER_MS, waitMs) * (1 + SPREAD * random()));
+}
+
+/**
+ * Queue order: lower first. Answers classes of different urgency in one queue: objectives order
+ * them, a lower rank stretches them, and waiting makes up for rank so that no class starves.
+ */
+export function queueKey(arrivedAt: Millis, aimMs: Millis, priority: number): number {
+  return arrivedAt + aimMs * (1 + priority);
+}
--- /dev/null
+++ b/packages/direct/src/connections.ts
@@ -0,0 +1,209 @@
+import type { Millis } from '@rosedeck/shared';
+import { currentShare, baseShare } from './connectionShare';
+import type { ShareInputs } from './connectionShare';
+import { daemonCount, othersHold } from './fleet';
+import type { LossReason, TargetOp, TargetReply } from './statements';
+import type { ConnectionRow, ReplyHandler, TargetRow, World } from './tables';
+
+/** Inputs of this daemon's share of a target's connections. */
+function shareInputs(world: World, target: TargetRow): ShareInputs {
+  return {
+    limit: target.group.connectionLimit,
+    daemons: daemonCount(world),
+    othersHold: othersHold(world, target.entry.id),
+    planShare: world.settings.connectionPlanShare,
+  };
+}
+
+/** True when one more connection to the target may be opened now. */
+export function mayOpen(world: World, target: TargetRow, now: Millis): boolean {
+  if (now < target.openBlockedUntil) return false;
+  return target.connections.size < currentShare(shareInputs(world, target));
+}
+
+/** Opens a connection to a target. */
+export function openConnection(world: World, target: TargetRow, now: Millis): void {
+  const id = world.nextConnection;
+  world.nextConnection += 1;
+  const row: ConnectionRow = {
+    id,
+    target,
+    state: 'opening',
+    openedAt: now,
+    lastReplyAt: now,
+    idleSince: now,
+    takenAt: now,
+    pending: [],
+    values: new Map(),
+    prepared: new Set(),
+  };
+  world.connections.set(id, row);
+  target.connections.add(row);
+  world.sides.openConnection(id, target.entry);
+}
+
+/** Takes in that a connection is ready. */
+export function noteOpened(world: World, row: ConnectionRow, now: Millis): void {
+  if (row.state !== 'opening') return;
+  noteAnswering(world, row.target, now);
+  row.lastReplyAt = now;
+  makeIdle(world, row, now);
+}
+
+/** Puts a connection back among the idle ones. */
+export function releaseConnection(world: World, row: ConnectionRow, now: Millis): void {
+  if (!world.connections.has(row.id)) return;
+  row.onLost = undefined;
+  makeIdle(world, row, now);
+}
+
+function makeIdle(world: World, row: ConnectionRow, now: Millis): void {
+  row.state = 'idle';
+  row.idleSince = now;
+  row.target.idle.push(row);
+  world.woken.add(row.target.group);
+}
+
+/** Takes an idle connection for work; undefined when there is none. */
+export function takeConnection(
+  target: TargetRow,
+  now: Millis,
+  values: ReadonlyMap<string, string>,
+): ConnectionRow | undefined {
+  const { idle } = target;
+  if (idle.length === 0) return undefined;
+  const fitting = idle.findLastIndex((row) => hasValues(row, values));
+  const [row] = idle.splice(fitting === -1 ? idle.length - 1 : fitting, 1);
+  if (!row) return undefined;
+  row.state = 'busy';
+  row.takenAt = now;
+  return row;
+}
+
+function hasValues(row: ConnectionRow, values: ReadonlyMap<string, string>): boolean {
+  if (row.values.size !== values.size) return false;
+  for (const [name, value] of values) if (row.values.get(name) !== value) return false;
+  return true;
+}
+
+/** Sends operations on a connection, each with what is to be done with its reply. */
+export function sendOps(
+  world: World,
+  row: ConnectionRow,
+  ops: readonly (readonly [TargetOp, ReplyHandler])[],
+): void {
+  const sentAt = world.clock.now();
+  for (const [op, handle] of ops)
+    row.pending.push({ op: op.op, sentAt, epoch: world.epoch, handle });
+  world.sides.send(
+    row.id,
+    ops.map(([op]) => op),
+  );
+}
+
+/** Hands a reply to what waits for it. */
+export function applyReply(
+  world: World,
+  row: ConnectionRow,
+  reply: TargetReply,
+  now: Millis,
+): void {
+  const sent = row.pending.shift();
+  if (!sent) {
+    loseConnection(world, row, 'protocol', now);
+    return;
+  }
+  row.lastReplyAt = now;
+  noteAnswering(world, row.target, now);
+  sent.handle(reply, sent);
+}
+
+/** Ends a connection that is broken or can no longer be trusted. */
+export function loseConnection(
+  world: World,
+  row: ConnectionRow,
+  reason: LossReason,
+  now: Millis,
+): void {
+  if (!world.connections.delete(row.id)) return;
+  const { target } = row;
+  target.connections.delete(row);
+  const at = target.idle.indexOf(row);
+  if (at !== -1) target.idle.splice(at, 1);
+  world.sides.closeConnection(row.id);
+  const wasIdle = row.state === 'idle';
+  noteLoss(world, row, reason, now);
+  world.woken.add(target.group);
+  if (!wasIdle) row.onLost?.(reason);
+}
+
+/** Closes a connection on purpose; nothing is concluded about its target. */
+export function dropConnection(world: World, row: ConnectionRow): void {
+  if (!world.connections.delete(row.id)) return;
+  row.target.connections.delete(row);
+  const at = row.target.idle.indexOf(row);
+  if (at !== -1) row.target.idle.splice(at, 1);
+  world.sides.closeConnection(row.id);
+  world.woken.add(row.target.group);
+}
+
+function noteLoss(world: World, row: ConnectionRow, reason: LossReason, now: Millis): void {
+  const { target } = row;
+  if (reason === 'limit') {
+    target.openBlockedUntil = now + world.settings.limitBackoffMs * (1 + world.random());
+    noteAnswering(world, target, now);
+    return;
+  }
+  const since = reason === 'silent' ? (row.pending[0]?.sentAt ?? row.openedAt) : now;
+  // A reset of an open connection alone does not show that its target is gone.
+  const isVerdict = row.state === 'opening' || reason === 'silent' || reason === 'wrong_target';
+  if (isVerdict) {
+    target.openBlockedUntil = now + world.settings.reopenMs;
+    target.failures += 1;
+    target.lastFailure = reason;
+    if (target.failingSince === undefined) {
+      target.failingSince = Math.max(since, target.lastReplyAt);
+      world.sides.log({
+        type: 'target_lost',
+        target: target.entry.id,
+        reason,
+        sinceReplyMs: Math.round(now - target.lastReplyAt),
+      });
+    }
+  }
+}
+
+function noteAnswering(world: World, target: TargetRow, now: Millis): void {
+  target.lastReplyAt = now;
+  if (target.failingSince === undefined) return;
+  world.sides.log({
+    type: 'target_regained',
+    target: target.entry.id,
+    afterMs: Math.round(now - target.failingSince),
+  });
+  target.failingSince = undefined;
+  target.failures = 0;
+  target.lastFailure = undefined;
+}
+
+/** Ends silent connections, and idle ones beyond the daemon's share. */
+export function runConnectionUpkeep(world: World, now: Millis): void {
+  const { settings } = world;
+  for (const row of [...world.connections.values()]) {
+    if (row.state === 'opening') {
+      if (now - row.openedAt > settings.openTimeoutMs) loseConnection(world, row, 'silent', now);
+      continue;
+    }
+    const [oldest] = row.pending;
+    if (oldest && oldest.op !== 'run') {
+      const limit = oldest.op === 'status' ? settings.surveyMs * 2 : settings.setupTimeoutMs;
+      if (now - Math.max(oldest.sentAt, row.lastReplyAt) > limit)
+        loseConnection(world, row, 'silent', now);
+      continue;
+    }
+    if (row.state === 'idle' && now - row.idleSince > settings.surplusIdleMs) {
+      if (row.target.connections.size > baseShare(shareInputs(world, row.target)))
+        dropConnection(world, row);
+    }
+  }
+}
--- /dev/null
+++ b/packages/direct/src/dispatch.ts
@@ -0,0 +1,184 @@
+import type { Millis, Position } from '@rosedeck/shared';
+import { mayOpen, openConnection, takeConnection } from './connections';
+import { executeInTransaction, executeRequest } from './execution';
+import type { ExecutionHooks } from './execution';
+import { othersInFlight } from './fleet';
+import { chooseReadTarget, slownessAt } from './placement';
+import type { PlacementCandidate } from './placement';
+import { findSample, laterOf } from './samples';
+import { covers } from '@rosedeck/shared';
+import type { GroupRow, RequestRow, TargetRow, World } from './tables';
+
+/** Connections to one target that may be on their way at a time: each takes a slot there. */
+const OPENING_LIMIT = 2;
+
+/** Time after which a target that lacked a position is asked for it again. */
+const BEHIND_RETRY_MS: Millis = 80;
+
+/** Time after a commit within which replicas are expected to lack it. */
+const APPLY_GUESS_MS: Millis = 150;
+
+/** True while new work may be sent to a target. */
+export function isUsable(world: World, target: TargetRow, now: Millis): boolean {
+  const { settings } = world;
+  if (target.missingSince !== undefined && now - target.missingSince > settings.missingMs)
+    return false;
+  const { leavingSince } = target;
+  if (leavingSince === undefined) return true;
+  return now - leavingSince < settings.targetDrainMs * settings.leavingShare;
+}
+
+/** Sends queued requests of a group to targets, in the order of the queue. */
+export function runDispatch(world: World, hooks: ExecutionHooks, group: GroupRow): void {
+  const now = world.clock.now();
+  const wanted = new Map<TargetRow, number>();
+  for (const row of [...group.queue]) {
+    if (row.notBefore > now) continue;
+    const after = resolvePosition(world, row);
+    const target = row.needsPrimary
+      ? choosePrimary(world, group, wanted, now)
+      : chooseAny(world, group, row, after, wanted, now);
+    if (!target) continue;
+    const connection = takeConnection(target, now, row.session.values);
+    if (!connection) continue;
+    const at = group.queue.indexOf(row);
+    if (at !== -1) group.queue.splice(at, 1);
+    executeRequest(world, hooks, row, connection, after);
+  }
+  for (const [target, count] of wanted) openWanted(world, target, count, now);
+}
+
+/** Goes on with statements of open transactions whose target was busy. */
+export function resumeInTransaction(world: World, hooks: ExecutionHooks, row: RequestRow): void {
+  const connection = row.transaction?.connection;
+  if (connection && row.notBefore <= world.clock.now())
+    executeInTransaction(world, hooks, row, connection);
+}
+
+/** The position that a target must have applied; without a sample, the primary must be asked. */
+function resolvePosition(world: World, row: RequestRow): Position | undefined {
+  const { route, group, transaction } = row;
+  if (route.policy === 'primary' || row.access === 'write') return undefined;
+  if (transaction && !transaction.readOnly) return undefined;
+  const { maxStalenessMs } = route;
+  if (maxStalenessMs === undefined) return row.session.position;
+  const startedAt = transaction?.beganAt ?? row.arrivedAt;
+  const notBefore = startedAt - maxStalenessMs + world.settings.stalenessMarginMs;
+  const sample = findSample(group.samples, notBefore);
+  row.needsPrimary = sample === undefined;
+  return laterOf(sample?.position, row.session.position);
+}
+
+function choosePrimary(
+  world: World,
+  group: GroupRow,
+  wanted: Map<TargetRow, number>,
+  now: Millis,
+): TargetRow | undefined {
+  const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  if (!primary || !isUsable(world, primary, now)) return undefined;
+  if (primary.idle.length > 0) return primary;
+  wanted.set(primary, (wanted.get(primary) ?? 0) + 1);
+  return undefined;
+}
+
+function chooseAny(
+  world: World,
+  group: GroupRow,
+  row: RequestRow,
+  after: Position | undefined,
+  wanted: Map<TargetRow, number>,
+  now: Millis,
+): TargetRow | undefined {
+  const eligible = findEligible(world, group, row, after, now);
+  const candidates = eligible.map((target) => describeTarget(world, target, now));
+  const choice = chooseReadTarget(candidates, world.settings.remoteFactor, world.random);
+  if (choice) return group.targets.get(choice.id);
+  const openable = eligible.filter((target) => mayOpen(world, target, now));
+  const [best] = openable.sort((a, b) => (wanted.get(a) ?? 0) - (wanted.get(b) ?? 0));
+  if (best) wanted.set(best, (wanted.get(best) ?? 0) + 1);
+  return undefined;
+}
+
+/** Targets that can serve a read, those that leave or have failed it only for want of others. */
+function findEligible(
+  world: World,
+  group: GroupRow,
+  row: RequestRow,
+  after: Position | undefined,
+  now: Millis,
+): TargetRow[] {
+  const usable = [...group.targets.values()].filter(
+    (target) => isUsable(world, target, now) && target.failingSince === undefined,
+  );
+  const fresh = usable.filter((target) => isFresh(group, row, target, after, now));
+  const staying = fresh.filter((target) => target.leavingSince === undefined);
+  const pool = staying.length > 0 ? staying : fresh;
+  const untried = pool.filter((target) => !row.tried.has(target.entry.id));
+  return untried.length > 0 ? untried : pool;
+}
+
+/** Whether a target is expected to have applied a position. */
+function isFresh(
+  group: GroupRow,
+  row: RequestRow,
+  target: TargetRow,
+  after: Position | undefined,
+  now: Millis,
+): boolean {
+  if (after === undefined || target.entry.id === group.primary) return true;
+  if (target.applied && covers(target.applied, after)) return true;
+  const { lacks } = target;
+  if (lacks && now - lacks.at < BEHIND_RETRY_MS && covers(after, lacks.position)) return false;
+  if (row.session.position !== undefined && after === row.session.position)
+    return now - row.session.positionAt > APPLY_GUESS_MS;
+  return true;
+}
+
+function describeTarget(world: World, target: TargetRow, now: Millis): PlacementCandidate {
+  const { entry, group } = target;
+  return {
+    id: entry.id,
+    isPrimary: entry.id === group.primary,
+    sameDomain: entry.failureDomain === world.self.failureDomain,
+    slots: entry.slots,
+    ownInFlight: target.connections.size - target.idle.length,
+    otherInFlight: othersInFlight(world, entry.id),
+    slowness: slownessAt(target.rating, now, world.settings.slownessFadeMs),
+    idle: target.idle.length,
+  };
+}
+
+function openWanted(world: World, target: TargetRow, count: number, now: Millis): void {
+  let opening = 0;
+  for (const row of target.connections) if (row.state === 'opening') opening += 1;
+  while (opening < Math.min(count, OPENING_LIMIT) && mayOpen(world, target, now)) {
+    openConnection(world, target, now);
+    opening += 1;
+  }
+}
+
+/** Sends a slow read to a second target. Answers lost answers and targets that turn slow. */
+export function hedgeRead(world: World, hooks: ExecutionHooks, row: RequestRow): boolean {
+  const now = world.clock.now();
+  const { group } = row;
+  const after = resolvePosition(world, row);
+  if (row.needsPrimary) return false;
+  const eligible = findEligible(world, group, row, after, now).filter(
+    (target) => !row.tried.has(target.entry.id),
+  );
+  const candidates = eligible.map((target) => describeTarget(world, target, now));
+  const choice = chooseReadTarget(candidates, world.settings.remoteFactor, world.random);
+  const target = choice && group.targets.get(choice.id);
+  const connection = target && takeConnection(target, now, row.session.values);
+  if (!connection) return false;
+  world.sides.log({
+    type: 'request_hedged',
+    request: row.id,
+    target: target.entry.id,
+    reason: `no answer from ${row.target ?? 'nobody'}`,
+    afterMs: Math.round(now - row.arrivedAt),
+  });
+  executeRequest(world, hooks, row, connection, after);
+  return true;
+}
--- /dev/null
+++ b/packages/direct/src/failover.ts
@@ -0,0 +1,363 @@
+import { formatPosition, positionOrd } from '@rosedeck/shared';
+import type { GroupId, InstanceId, Millis, Position, TargetId } from '@rosedeck/shared';
+import {
+  releaseConnection,
+  sendOps,
+  takeConnection,
+  loseConnection,
+  mayOpen,
+  openConnection,
+} from './connections';
+import { isUsable } from './dispatch';
+import { countOpinions } from './fleet';
+import { noteLead, noteNotLeading, reviewPrimary } from './leadership';
+import type { GroupRow, TargetRow, World } from './tables';
+
+/** Why a group needs another primary. */
+export type PromotionReason = 'unreachable' | 'leaving' | 'gone' | 'nobody_leads';
+
+/** How a promotion order ended. */
+export type PromotionResult =
+  | 'ordered'
+  /** Another daemon holds the claim. */
+  | 'lost_claim'
+  /** The platform does not accept the target, or a newer claim has been used. */
+  | 'rejected'
+  /** No answer; the order may still be carried out. */
+  | 'unknown'
+  /** Nothing was claimed or ordered. */
+  | 'unavailable';
+
+/** A promotion that this daemon drives. */
+export interface Promotion {
+  readonly reason: PromotionReason;
+  readonly startedAt: Millis;
+  stage: 'survey' | 'ordered';
+  candidate?: TargetId;
+  orderedAt?: Millis;
+}
+
+/** What decides whether a group needs a promotion. */
+export interface PrimaryView {
+  readonly known: boolean;
+  readonly leaving: boolean;
+  readonly gone: boolean;
+  /** This daemon cannot reach it. */
+  readonly suspected: boolean;
+  /** Time without a primary that proves its lead. */
+  readonly troubledMs: Millis;
+  /** Other daemons that cannot reach it, and that can. */
+  readonly suspecting: number;
+  readonly trusting: number;
+}
+
+/** A group in which nobody leads is given this long to settle by itself. */
+const NOBODY_LEADS_MS: Millis = 1_200;
+
+/** Time that a rejected candidate is passed over. */
+const REJECTED_MS: Millis = 2_000;
+
+/** Pause after an order that could not be placed. */
+const UNAVAILABLE_PAUSE_MS: Millis = 400;
+
+/** A replica that lacks a position this old receives nothing at present. */
+const DEAF_MS: Millis = 500;
+
+/**
+ * Whether the group needs another primary, and why. Answers a primary that is lost, leaves, or is
+ * cut off from most daemons; a cut from a few is left alone, since their callers can go elsewhere.
+ */
+export function findPromotionReason(view: PrimaryView): PromotionReason | undefined {
+  if (view.known && view.leaving) return 'leaving';
+  if (!view.known) return view.troubledMs > NOBODY_LEADS_MS ? 'nobody_leads' : undefined;
+  if (!view.suspected) return undefined;
+  if (view.gone) return 'gone';
+  return view.suspecting + 1 > view.trusting ? 'unreachable' : undefined;
+}
+
+/** One replica that may be promoted. */
+export interface PromotionCandidate {
+  readonly id: TargetId;
+  readonly leaving: boolean;
+  /** Last position that it is known to hold. */
+  readonly received?: Position;
+  readonly answered: boolean;
+  readonly failing: boolean;
+}
+
+/** The replica with the newest log; ties go to one that answered and stays. */
+export function chooseCandidate(
+  candidates: readonly PromotionCandidate[],
+): PromotionCandidate | undefined {
+  const fit = candidates.filter((one) => !one.failing);
+  const staying = fit.filter((one) => !one.leaving);
+  const pool = staying.length > 0 ? staying : fit;
+  return pool.reduce<PromotionCandidate | undefined>(
+    (best, one) => (best === undefined || isBetter(one, best) ? one : best),
+    undefined,
+  );
+}
+
+function isBetter(a: PromotionCandidate, b: PromotionCandidate): boolean {
+  if (!a.received || !b.received) return a.received !== undefined && b.received === undefined;
+  const order = positionOrd.compare(a.received, b.received);
+  return order === 0 ? a.answered && !b.answered : order > 0;
+}
+
+/** Head start order of the daemons for a group: each name has its own place in each group. */
+export function promotionTurn(
+  self: InstanceId,
+  others: readonly InstanceId[],
+  group: GroupId,
+): number {
+  const own = spreadHash(`${group}/${self}`);
+  return others.filter((name) => spreadHash(`${group}/${name}`) < own).length;
+}
+
+/** FNV-1a over UTF-16 units. */
+function spreadHash(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let at = 0; at < text.length; at += 1)
+    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+  return hash >>> 0;
+}
+
+/** Keeps the belief about a group's primary current, and starts promotions. */
+export function runFailover(world: World, group: GroupRow, now: Millis): void {
+  if (group.targets.size === 0) return;
+  reviewPrimary(world, group);
+  const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  trackTrouble(world, group, primary, now);
+  probeTargets(world, group, primary, now);
+  if (group.expected && now - group.expected.since > world.settings.promotionWaitMs)
+    group.expected = undefined;
+  if (group.promotion) {
+    continuePromotion(world, group, group.promotion, now);
+    return;
+  }
+  maybeStart(world, group, primary, now);
+}
+
+function trackTrouble(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  now: Millis,
+): void {
+  const { settings } = world;
+  const failingMs = primary?.failingSince === undefined ? 0 : now - primary.failingSince;
+  const isRefusing = primary?.lastFailure === 'refused' || primary?.lastFailure === 'wrong_target';
+  const limitMs = isRefusing ? settings.suspectRefusedMs : settings.suspectSilentMs;
+  const suspected =
+    primary !== undefined && failingMs >= limitMs && primary.failures > 1
+      ? primary.entry.id
+      : undefined;
+  if (!primary || primary.failingSince !== undefined)
+    group.troubledSince ??= primary?.failingSince ?? now;
+  else group.troubledSince = undefined;
+  if (suspected === group.suspected) return;
+  const subject = suspected ?? group.suspected ?? '';
+  group.suspected = suspected;
+  world.woken.add(group);
+  world.sides.log({
+    type: suspected === undefined ? 'primary_cleared' : 'primary_suspected',
+    group: group.id,
+    target: subject,
+    silentMs: Math.round(failingMs),
+  });
+}
+
+/** Asks for proof of the lead: of the primary when its newest proof is old, of all when it is unknown. */
+function probeTargets(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  now: Millis,
+): void {
+  const { settings } = world;
+  const provenAt = group.primaryProvenAt;
+  const isSettled = primary !== undefined && provenAt !== undefined && !group.expected;
+  if (isSettled) {
+    if (now - group.lastRequestAt > settings.sampleIdleMs) return;
+    if (now - provenAt >= settings.sampleEveryMs) probeLead(world, primary, now);
+    return;
+  }
+  for (const target of group.targets.values())
+    if (isUsable(world, target, now)) probeLead(world, target, now);
+}
+
+function probeLead(world: World, target: TargetRow, now: Millis): void {
+  if (now - target.probedAt < world.settings.probeEveryMs) return;
+  const connection = takeConnection(target, now, NO_VALUES);
+  if (!connection) {
+    if (target.connections.size === 0 && mayOpen(world, target, now))
+      openConnection(world, target, now);
+    return;
+  }
+  target.probedAt = now;
+  sendOps(world, connection, [
+    [
+      { op: 'begin', readOnly: false },
+      (reply, sent) => {
+        if (reply.kind === 'done') noteLead(world, target, reply.position, sent);
+        else if (reply.code === 'read_only') noteNotLeading(world, target, sent);
+      },
+    ],
+    [
+      { op: 'rollback' },
+      (reply) => {
+        const at = world.clock.now();
+        if (reply.inTransaction) loseConnection(world, connection, 'protocol', at);
+        else releaseConnection(world, connection, at);
+      },
+    ],
+  ]);
+}
+
+const NO_VALUES: ReadonlyMap<string, string> = new Map();
+
+function maybeStart(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  now: Millis,
+): void {
+  if (group.expected || world.drainingSince !== undefined) return;
+  if (group.pausedUntil !== undefined && now < group.pausedUntil) return;
+  const opinions =
+    primary === undefined
+      ? { suspecting: 0, trusting: 0 }
+      : countOpinions(world, group.id, primary.entry.id, now);
+  const reason = findPromotionReason({
+    known: primary !== undefined,
+    leaving: primary?.leavingSince !== undefined,
+    gone: primary?.missingSince !== undefined,
+    suspected: group.suspected !== undefined,
+    troubledMs: group.troubledSince === undefined ? 0 : now - group.troubledSince,
+    ...opinions,
+  });
+  if (reason === undefined) {
+    group.reasonSince = undefined;
+    return;
+  }
+  group.reasonSince ??= now;
+  const peers = [...world.fleet.peers.keys()];
+  const turn = promotionTurn(world.self.name, peers, group.id);
+  if (now - group.reasonSince < turn * world.settings.promotionStepMs) return;
+  world.sides.log({ type: 'promotion_started', group: group.id, reason, ...opinions });
+  group.promotion = { reason, startedAt: now, stage: 'survey' };
+  for (const target of group.targets.values()) survey(world, target, now);
+}
+
+/** Asks a target for its status. */
+function survey(world: World, target: TargetRow, now: Millis): void {
+  if (target.entry.id === target.group.primary) return;
+  const connection = takeConnection(target, now, NO_VALUES);
+  if (!connection) {
+    if (mayOpen(world, target, now)) openConnection(world, target, now);
+    return;
+  }
+  sendOps(world, connection, [
+    [
+      { op: 'status' },
+      (reply) => {
+        const at = world.clock.now();
+        if (reply.kind === 'done' && reply.status) target.status = { report: reply.status, at };
+        releaseConnection(world, connection, at);
+      },
+    ],
+  ]);
+}
+
+function continuePromotion(world: World, group: GroupRow, promotion: Promotion, now: Millis): void {
+  const { settings } = world;
+  if (promotion.stage === 'ordered') {
+    if (now - (promotion.orderedAt ?? now) > settings.promotionWaitMs) group.promotion = undefined;
+    return;
+  }
+  if (group.expected) {
+    group.promotion = undefined;
+    return;
+  }
+  const candidates = [...group.targets.values()]
+    .filter((target) => target.entry.id !== group.primary && isUsable(world, target, now))
+    .filter((target) => now - target.rejectedAt > REJECTED_MS)
+    .map((target) => describeCandidate(target, promotion));
+  const isComplete = candidates.every((one) => one.answered || one.failing);
+  if (!isComplete && now - promotion.startedAt < settings.surveyMs) return;
+  const choice = chooseCandidate(candidates);
+  if (!choice || (promotion.reason === 'leaving' && isDeaf(world, group, choice, now))) {
+    group.promotion = undefined;
+    group.pausedUntil = now + UNAVAILABLE_PAUSE_MS;
+    return;
+  }
+  promotion.stage = 'ordered';
+  promotion.orderedAt = now;
+  promotion.candidate = choice.id;
+  world.sides.log({
+    type: 'promotion_ordered',
+    group: group.id,
+    candidate: choice.id,
+    received: choice.received ? formatPosition(choice.received) : 'unknown',
+    surveyed: candidates.filter((one) => one.answered).length,
+  });
+  world.sides.promote(group.id, choice.id);
+}
+
+function describeCandidate(target: TargetRow, promotion: Promotion): PromotionCandidate {
+  const { status } = target;
+  const answered = status !== undefined && status.at >= promotion.startedAt;
+  return {
+    id: target.entry.id,
+    leaving: target.leavingSince !== undefined,
+    received: answered ? status.report.received : target.applied,
+    answered,
+    failing: target.failingSince !== undefined,
+  };
+}
+
+/** A working primary is not replaced by a replica that receives nothing, while there is time. */
+function isDeaf(world: World, group: GroupRow, choice: PromotionCandidate, now: Millis): boolean {
+  const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  const { settings } = world;
+  const leavingMs = now - (primary?.leavingSince ?? now);
+  if (leavingMs > (settings.targetDrainMs * settings.leavingShare) / 2) return false;
+  const old = group.samples.findLast((sample) => now - sample.sentAt > DEAF_MS);
+  if (!old) return false;
+  return !choice.received || positionOrd.compare(choice.received, old.position) < 0;
+}
+
+/** Takes in how an order ended. */
+export function applyPromotionEnd(
+  world: World,
+  group: GroupRow,
+  result: PromotionResult,
+  now: Millis,
+): void {
+  const { promotion } = group;
+  world.sides.log({
+    type: 'promotion_ended',
+    group: group.id,
+    candidate: promotion?.candidate,
+    outcome: result,
+  });
+  group.promotion = undefined;
+  const candidate = promotion?.candidate;
+  if (candidate === undefined) return;
+  if (result === 'ordered' || result === 'unknown') {
+    expectPrimary(world, group, candidate, now);
+    return;
+  }
+  group.pausedUntil = now + UNAVAILABLE_PAUSE_MS;
+  const target = group.targets.get(candidate);
+  if (result === 'rejected' && target) target.rejectedAt = now;
+}
+
+/** Takes in that a target has been chosen to lead, here or by another daemon. */
+export function expectPrimary(world: World, group: GroupRow, target: TargetId, now: Millis): void {
+  if (group.expected?.target === target || !group.targets.has(target)) return;
+  if (group.primary === target && group.primaryProvenAt !== undefined) return;
+  group.expected = { target, since: now };
+  group.reasonSince = undefined;
+  world.woken.add(group);
+}
--- /dev/null
+++ b/packages/direct/src/fleet.ts
@@ -0,0 +1,109 @@
+import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
+import type { World } from './tables';
+
+/** A daemon's opinion of a group's primary. */
+export interface PrimaryOpinion {
+  readonly group: GroupId;
+  readonly target: TargetId;
+  /** False: it answers nothing here. */
+  readonly reachable: boolean;
+}
+
+/** What daemons tell each other several times a second. */
+export interface PeerReport {
+  readonly name: InstanceId;
+  /** Configuration version in force. */
+  readonly config: number;
+  /** Highest store revision among the listed targets and the configuration. */
+  readonly view: number;
+  readonly opinions: readonly PrimaryOpinion[];
+  /** Connections and statements in flight, by target. */
+  readonly loads: readonly (readonly [TargetId, number, number])[];
+}
+
+/** Another daemon, as its last report shows it. */
+export interface PeerRow {
+  report: PeerReport;
+  at: Millis;
+  loads: ReadonlyMap<TargetId, { readonly connections: number; readonly inFlight: number }>;
+}
+
+/** What this daemon knows of the others. */
+export interface FleetRow {
+  readonly peers: Map<InstanceId, PeerRow>;
+  /** Daemons that the platform's directory shows, this one included. */
+  listed: number;
+}
+
+/** Creates a fleet without other daemons. */
+export function createFleet(): FleetRow {
+  return { peers: new Map(), listed: 1 };
+}
+
+/** Takes in a report. */
+export function notePeer(world: World, report: PeerReport, now: Millis): void {
+  const { peers } = world.fleet;
+  if (report.name === world.self.name) return;
+  if (!peers.has(report.name)) world.sides.log({ type: 'peer_heard', peer: report.name });
+  const loads = new Map(
+    report.loads.map(([target, connections, inFlight]) => [target, { connections, inFlight }]),
+  );
+  peers.set(report.name, { report, at: now, loads });
+}
+
+/** Forgets daemons that have been silent. */
+export function expirePeers(world: World, now: Millis): void {
+  for (const [name, row] of world.fleet.peers) {
+    if (now - row.at <= world.settings.peerMs) continue;
+    world.fleet.peers.delete(name);
+    world.sides.log({ type: 'peer_silent', peer: name });
+  }
+}
+
+/** Daemons that share the targets' connections. */
+export function daemonCount(world: World): number {
+  return Math.max(world.fleet.listed, world.fleet.peers.size + 1);
+}
+
+/** Connections that the other daemons hold at a target; undefined while none has reported. */
+export function othersHold(world: World, target: TargetId): number | undefined {
+  return sumOver(world, target, 'connections');
+}
+
+/** Statements that the other daemons have in flight at a target. */
+export function othersInFlight(world: World, target: TargetId): number {
+  return sumOver(world, target, 'inFlight') ?? 0;
+}
+
+/** Sums what was heard, scaled up to the daemons that were not heard. */
+function sumOver(
+  world: World,
+  target: TargetId,
+  field: 'connections' | 'inFlight',
+): number | undefined {
+  const { peers } = world.fleet;
+  if (peers.size === 0) return world.fleet.listed > 1 ? undefined : 0;
+  let sum = 0;
+  for (const peer of peers.values()) sum += peer.loads.get(target)?.[field] ?? 0;
+  const others = daemonCount(world) - 1;
+  return (sum * others) / peers.size;
+}
+
+/** Other daemons' recent opinions of a primary. */
+export function countOpinions(
+  world: World,
+  group: GroupId,
+  target: TargetId,
+  now: Millis,
+): { readonly suspecting: number; readonly trusting: number } {
+  let suspecting = 0;
+  let trusting = 0;
+  for (const peer of world.fleet.peers.values()) {
+    if (now - peer.at > world.settings.opinionMs) continue;
+    const opinion = peer.report.opinions.find((one) => one.group === group);
+    if (opinion?.target !== target) continue;
+    if (opinion.reachable) trusting += 1;
+    else suspecting += 1;
+  }
+  return { suspecting, trusting };
+}
--- /dev/null
+++ b/packages/direct/src/index.ts
@@ -0,0 +1,14 @@
+/** The direct engine: a daemon that serves its callers over its own connections to the targets. */
+export * from './admission';
+export * from './configuration';
+export * from './connectionShare';
+export * from './engine';
+export { chooseCandidate, findPromotionReason, promotionTurn } from './failover';
+export type { PrimaryView, PromotionCandidate, PromotionReason, PromotionResult } from './failover';
+export type { PeerReport, PrimaryOpinion } from './fleet';
+export type { DirectEvent } from './notes';
+export * from './placement';
+export * from './samples';
+export * from './settings';
+export * from './statements';
+export type { ConnectionId, Sides, World } from './tables';
--- /dev/null
+++ b/packages/direct/src/leadership.ts
@@ -0,0 +1,86 @@
+import type { Millis, Position, TargetId } from '@rosedeck/shared';
+import { addSample } from './samples';
+import type { GroupRow, SentOp, TargetRow, World } from './tables';
+import { noteMean } from './tables';
+
+/** Takes in proof that a target led when it handled an operation. */
+export function noteLead(
+  world: World,
+  target: TargetRow,
+  position: Position | undefined,
+  sent: SentOp,
+): void {
+  if (!position || sent.epoch !== world.epoch) return;
+  const { group } = target;
+  if (position.term < group.term) return;
+  if (sent.sentAt < target.notLeadingAt && position.term === group.term) return;
+  group.term = position.term;
+  addSample(group.samples, { position, sentAt: sent.sentAt });
+  group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
+  if (group.expected?.target === target.entry.id) {
+    noteMean(group.promoteMs, sent.sentAt - group.expected.since);
+    group.expected = undefined;
+  }
+  if (group.primary !== target.entry.id) setPrimary(world, group, target.entry.id, 'it leads');
+  clearTrouble(group);
+}
+
+/** Takes in that a target has refused work for lack of the lead. */
+export function noteNotLeading(world: World, target: TargetRow, sent: SentOp): void {
+  const { group } = target;
+  target.notLeadingAt = world.clock.now();
+  if (group.primary !== target.entry.id) return;
+  if (group.primaryProvenAt !== undefined && sent.sentAt < group.primaryProvenAt) return;
+  setPrimary(world, group, guessPrimary(world, group), 'it says that it does not lead');
+}
+
+/** Looks for a primary where none is known, or where the known one is gone. */
+export function reviewPrimary(world: World, group: GroupRow): void {
+  const current = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  if (current) return;
+  const guess = guessPrimary(world, group);
+  if (guess !== group.primary) setPrimary(world, group, guess, 'the list');
+}
+
+function setPrimary(
+  world: World,
+  group: GroupRow,
+  to: TargetId | undefined,
+  evidence: string,
+): void {
+  const now = world.clock.now();
+  const from = group.primary;
+  group.primary = to;
+  if (evidence !== 'it leads') group.primaryProvenAt = undefined;
+  world.woken.add(group);
+  if (from === to) return;
+  world.sides.log({
+    type: 'primary_changed',
+    group: group.id,
+    from,
+    to,
+    term: group.term,
+    evidence,
+    troubledMs: group.troubledSince === undefined ? 0 : Math.round(now - group.troubledSince),
+  });
+}
+
+/** The target that is said to lead, unless it has said otherwise since. */
+function guessPrimary(world: World, group: GroupRow): TargetId | undefined {
+  if (group.expected && group.targets.has(group.expected.target)) return group.expected.target;
+  let best: TargetRow | undefined;
+  const now = world.clock.now();
+  for (const target of group.targets.values()) {
+    if (target.entry.role !== 'primary') continue;
+    if (now - target.notLeadingAt < DENIAL_MS) continue;
+    if (!best || target.entry.revision > best.entry.revision) best = target;
+  }
+  return best?.entry.id;
+}
+
+/** A target that has just refused the lead is not guessed again at once. */
+const DENIAL_MS: Millis = 150;
+
+function clearTrouble(group: GroupRow): void {
+  group.troubledSince = undefined;
+}
--- /dev/null
+++ b/packages/direct/src/notes.ts
@@ -0,0 +1,99 @@
+import type { GroupId, InstanceId, Millis, RequestId, SessionId, TargetId } from '@rosedeck/shared';
+import type { LossReason } from './statements';
+
+/** What the engine decided or came to believe, for logs and metrics. */
+export type DirectEvent =
+  | {
+      readonly type: 'request_done';
+      readonly request: RequestId;
+      readonly session: SessionId;
+      readonly route: string;
+      readonly target?: TargetId;
+      readonly outcome: string;
+      readonly waitedMs: Millis;
+      readonly tookMs: Millis;
+      readonly tries: number;
+      readonly config: number;
+      readonly detail?: string;
+    }
+  | {
+      readonly type: 'request_retried' | 'request_hedged';
+      readonly request: RequestId;
+      readonly target: TargetId;
+      readonly reason: string;
+      readonly afterMs: Millis;
+    }
+  | {
+      readonly type: 'request_refused';
+      readonly request: RequestId;
+      readonly route: string;
+      readonly reason: string;
+      readonly queued: number;
+      readonly expectedWaitMs: Millis;
+      readonly primary?: TargetId;
+      readonly primaryAgeMs?: Millis;
+    }
+  | {
+      readonly type: 'transaction_ended';
+      readonly session: SessionId;
+      readonly reason: string;
+      readonly idleMs: Millis;
+    }
+  | {
+      readonly type: 'target_lost';
+      readonly target: TargetId;
+      readonly reason: LossReason;
+      readonly sinceReplyMs: Millis;
+    }
+  | { readonly type: 'target_regained'; readonly target: TargetId; readonly afterMs: Millis }
+  | {
+      readonly type: 'primary_changed';
+      readonly group: GroupId;
+      readonly from?: TargetId;
+      readonly to?: TargetId;
+      readonly term: number;
+      readonly evidence: string;
+      readonly troubledMs: Millis;
+    }
+  | {
+      readonly type: 'primary_suspected' | 'primary_cleared';
+      readonly group: GroupId;
+      readonly target: TargetId;
+      readonly silentMs: Millis;
+    }
+  | {
+      readonly type: 'promotion_started';
+      readonly group: GroupId;
+      readonly reason: string;
+      readonly suspecting: number;
+      readonly trusting: number;
+    }
+  | {
+      readonly type: 'promotion_ordered';
+      readonly group: GroupId;
+      readonly candidate: TargetId;
+      readonly received: string;
+      readonly surveyed: number;
+    }
+  | {
+      readonly type: 'promotion_ended';
+      readonly group: GroupId;
+      readonly candidate?: TargetId;
+      readonly outcome: string;
+    }
+  | {
+      readonly type: 'config_applied';
+      readonly version: number;
+      readonly routes: number;
+      readonly source: string;
+    }
+  | {
+      readonly type: 'targets_changed';
+      readonly added: readonly TargetId[];
+      readonly removed: readonly TargetId[];
+      readonly leaving: readonly TargetId[];
+      readonly source: string;
+    }
+  | { readonly type: 'time_jumped'; readonly byMs: Millis }
+  | { readonly type: 'drain_started'; readonly sessions: number }
+  | { readonly type: 'peer_heard' | 'peer_silent'; readonly peer: InstanceId };
--- /dev/null
+++ b/packages/direct/src/placement.ts
@@ -0,0 +1,76 @@
+import type { Millis, TargetId } from '@rosedeck/shared';
+
+/** One target that a statement may run on. */
+export interface PlacementCandidate {
+  readonly id: TargetId;
+  readonly isPrimary: boolean;
+  readonly sameDomain: boolean;
+  readonly slots: number;
+  /** Statements of this daemon that the target is working on. */
+  readonly ownInFlight: number;
+  /** Statements of the other daemons there, as they last reported. */
+  readonly otherInFlight: number;
+  /** Response time against the usual one; 1 is normal. */
+  readonly slowness: number;
+  /** Connections of this daemon that are free at once. */
+  readonly idle: number;
+}
+
+/**
+ * Expected delay of one more statement, in multiples of a normal one. Answers a slow or crowded
+ * target beside free ones: its cost grows with its response time and with what it already holds.
+ */
+export function placementCost(candidate: PlacementCandidate, remoteFactor: number): number {
+  const load = (candidate.ownInFlight + candidate.otherInFlight) / Math.max(1, candidate.slots);
+  const distance = candidate.sameDomain ? 1 : remoteFactor;
+  return candidate.slowness * (1 + load) * distance;
+}
+
+/**
+ * Chooses the target of a read. Answers reads that crowd out writers: the primary serves a read
+ * only while it keeps another free connection for work that cannot go elsewhere.
+ */
+export function chooseReadTarget(
+  candidates: readonly PlacementCandidate[],
+  remoteFactor: number,
+  random: () => number,
+): PlacementCandidate | undefined {
+  let best: PlacementCandidate | undefined;
+  let bestCost = Infinity;
+  for (const candidate of candidates) {
+    if (candidate.idle < (candidate.isPrimary ? 2 : 1)) continue;
+    // A little noise keeps daemons with the same view from choosing the same target.
+    const cost = placementCost(candidate, remoteFactor) * (1 + NOISE * random());
+    if (cost >= bestCost) continue;
+    best = candidate;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Spread of the placement noise, as a share of the cost. */
+const NOISE = 0.15;
+
+/** Weight of the newest response time in a target's rating. */
+const RATING_WEIGHT = 0.15;
+
+/** The rating of a target, and when it last changed. */
+export interface Rating {
+  slowness: number;
+  at: Millis;
+}
+
+/** Takes in one response time, as a multiple of the usual one. */
+export function noteResponse(rating: Rating, ratio: number, now: Millis, fadeMs: Millis): void {
+  const current = slownessAt(rating, now, fadeMs);
+  rating.slowness = current + RATING_WEIGHT * (Math.min(ratio, MAX_RATIO) - current);
+  rating.at = now;
+}
+
+/** One outlier must not shut a target out. */
+const MAX_RATIO = 12;
+
+/** The rating now; without samples it fades to normal, so that a recovered target is tried again. */
+export function slownessAt(rating: Rating, now: Millis, fadeMs: Millis): number {
+  return 1 + (rating.slowness - 1) * Math.exp((rating.at - now) / fadeMs);
+}
--- /dev/null
+++ b/packages/direct/src/primaryWait.ts
@@ -0,0 +1,19 @@
+import type { Millis } from '@rosedeck/shared';
+import type { GroupRow, World } from './tables';
+
+/** Least wait that is expected while a group has no usable primary. */
+const MIN_WAIT_MS: Millis = 50;
+
+/** Expected time until the group has a primary that answers; 0 while it has one. */
+export function expectedPrimaryWaitMs(world: World, group: GroupRow, now: Millis): Millis {
+  const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  if (primary && primary.failingSince === undefined && group.expected === undefined) return 0;
+  if (group.primaryProvenAt !== undefined && group.suspected === undefined) return 0;
+  if (group.expected) {
+    const rest = group.expected.since + group.promoteMs.value - now;
+    return Math.max(MIN_WAIT_MS, rest);
+  }
+  if (group.troubledSince === undefined) return 0;
+  const total = world.settings.detectionGuessMs + group.promoteMs.value;
+  return Math.max(MIN_WAIT_MS, group.troubledSince + total - now);
+}
--- /dev/null
+++ b/packages/direct/src/requests.ts
@@ -0,0 +1,129 @@
+import type { ErrorKind, Millis, RequestId } from '@rosedeck/shared';
+import { admit, queueKey, retryAfterMs } from './admission';
+import type { Prospects } from './admission';
+import type { Route } from './configuration';
+import { isUsable } from './dispatch';
+import { finishAs } from './execution';
+import type { ExecutionHooks } from './execution';
+import type { Access } from './statements';
+import { expectedPrimaryWaitMs } from './primaryWait';
+import type { GroupRow, RequestRow, SessionRow, TransactionRow, World } from './tables';
+
+/** What a caller's statement asks of a target. */
+export interface RequestSpec {
+  readonly id: RequestId;
+  readonly access: Access | 'commit';
+  readonly text: string;
+  readonly prepare?: RequestRow['prepare'];
+  readonly transaction?: TransactionRow;
+}
+
+/** Creates a request, not yet queued. */
+export function createRequest(
+  world: World,
+  session: SessionRow,
+  route: Route,
+  group: GroupRow,
+  spec: RequestSpec,
+): RequestRow {
+  const now = world.clock.now();
+  group.lastRequestAt = now;
+  const isPlain = spec.transaction !== undefined && !spec.transaction.readOnly;
+  return {
+    ...spec,
+    session,
+    route,
+    group,
+    needsPrimary: isPlain || spec.access === 'write' || route.policy === 'primary',
+    arrivedAt: now,
+    deadlineAt: now + route.timeoutMs,
+    queueKey: queueKey(now, route.aimMs, route.priority),
+    stage: 'queued',
+    tried: new Set(),
+    tries: 0,
+    running: new Set(),
+    mayHaveRun: false,
+    lastSentAt: now,
+    notBefore: now,
+    lastProblem: '',
+  };
+}
+
+/** Adds a request to the queue of its group, in order. */
+export function enqueueRequest(world: World, row: RequestRow): void {
+  const { queue } = row.group;
+  row.stage = 'queued';
+  world.running.delete(row);
+  let at = queue.length;
+  while (at > 0 && (queue[at - 1]?.queueKey ?? 0) > row.queueKey) at -= 1;
+  queue.splice(at, 0, row);
+  world.woken.add(row.group);
+}
+
+/** Refuses queued requests that cannot be served in time; a look at one group's queue. */
+export function shedHopeless(world: World, hooks: ExecutionHooks, group: GroupRow): void {
+  const now = world.clock.now();
+  const ahead = { primary: 0, any: 0 };
+  for (const row of [...group.queue]) {
+    const lane = row.needsPrimary ? 'primary' : 'any';
+    const prospects = describeProspects(world, row, ahead[lane], now);
+    const waited = now - row.arrivedAt;
+    const bounded = { ...prospects, aimMs: Math.max(0, row.route.aimMs - waited) };
+    const verdict = admit(bounded, world.settings.queueShare);
+    if (verdict.kind === 'queue') ahead[lane] += 1;
+    else refuseRequest(world, hooks, row, verdict.reason, verdict.waitMs);
+  }
+}
+
+function describeProspects(world: World, row: RequestRow, ahead: number, now: Millis): Prospects {
+  const { group } = row;
+  let connections = 0;
+  for (const target of group.targets.values()) {
+    if (row.needsPrimary && target.entry.id !== group.primary) continue;
+    if (isUsable(world, target, now)) connections += target.connections.size;
+  }
+  return {
+    ahead,
+    connections,
+    holdMs: group.holdMs[row.needsPrimary ? 'primary' : 'any'].value,
+    primaryWaitMs: row.needsPrimary ? expectedPrimaryWaitMs(world, group, now) : 0,
+    aimMs: row.route.aimMs,
+    leftMs: row.deadlineAt - now,
+  };
+}
+
+/** Refuses a queued request at once, with a time to come back. */
+export function refuseRequest(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  reason: ErrorKind,
+  waitMs: Millis,
+): void {
+  const now = world.clock.now();
+  const { group } = row;
+  world.sides.log({
+    type: 'request_refused',
+    request: row.id,
+    route: row.route.name,
+    reason,
+    queued: group.queue.length,
+    expectedWaitMs: Math.round(waitMs),
+    primary: group.primary,
+    primaryAgeMs:
+      group.primaryProvenAt === undefined ? undefined : Math.round(now - group.primaryProvenAt),
+  });
+  dequeueRequest(row);
+  const detail = row.lastProblem === '' ? 'the wait would be too long' : row.lastProblem;
+  if (row.mayHaveRun && row.access === 'read') {
+    finishAs(world, hooks, row, 'read_interrupted', detail);
+    return;
+  }
+  finishAs(world, hooks, row, reason, detail, retryAfterMs(waitMs, world.random));
+}
+
+/** Takes a request out of the queue of its group. */
+export function dequeueRequest(row: RequestRow): void {
+  const at = row.group.queue.indexOf(row);
+  if (at !== -1) row.group.queue.splice(at, 1);
+}
--- /dev/null
+++ b/packages/direct/src/samples.ts
@@ -0,0 +1,45 @@
+import { positionOrd } from '@rosedeck/shared';
+import type { Millis, Position } from '@rosedeck/shared';
+
+/** A position of the primary's log that covers every commit acknowledged before `sentAt`. */
+export interface PositionSample {
+  readonly position: Position;
+  /** When the request that returned the position was sent. */
+  readonly sentAt: Millis;
+}
+
+/** Samples of one group, oldest first, all of its newest term. */
+export type SampleHistory = PositionSample[];
+
+/** Samples closer together than this add nothing to the choice. */
+const SPACING_MS = 40;
+
+/** Ages beyond this serve no route that a configuration is likely to have. */
+const KEPT_MS = 10_000;
+
+/** Takes in a sample; those of older terms are dropped, since their log may have been cut back. */
+export function addSample(history: SampleHistory, sample: PositionSample): void {
+  const newest = history.at(-1);
+  if (newest) {
+    if (sample.position.term < newest.position.term) return;
+    if (sample.position.term > newest.position.term) history.length = 0;
+    else if (sample.sentAt <= newest.sentAt) return;
+    else if (sample.sentAt - (history.at(-2)?.sentAt ?? -Infinity) < SPACING_MS) history.pop();
+  }
+  history.push(sample);
+  while (history[0] && sample.sentAt - history[0].sentAt > KEPT_MS) history.shift();
+}
+
+/**
+ * The oldest sample that was taken at `notBefore` or later: replicas are most likely to have
+ * applied it.
+ */
+export function findSample(history: SampleHistory, notBefore: Millis): PositionSample | undefined {
+  return history.find((sample) => sample.sentAt >= notBefore);
+}
+
+/** The later of two positions, either of which may be unknown. */
+export function laterOf(a: Position | undefined, b: Position | undefined): Position | undefined {
+  if (!a || !b) return a ?? b;
+  return positionOrd.compare(a, b) >= 0 ? a : b;
+}
--- /dev/null
+++ b/packages/direct/src/settings.ts
@@ -0,0 +1,99 @@
+import type { Millis } from '@rosedeck/shared';
+
+/** Tunable times, weights and limits of the direct engine. */
+export interface DirectSettings {
+  /** Interval of the engine's timed systems. */
+  readonly tickMs: Millis;
+  /** Reply time allowed for operations that need no slot; several round trips between regions. */
+  readonly setupTimeoutMs: Millis;
+  /** Time allowed for opening a connection: handshakes take tens of milliseconds. */
+  readonly openTimeoutMs: Millis;
+  /** Pause before a connection is opened again after a failure. */
+  readonly reopenMs: Millis;
+  /** Pause after a target has said that it has too many connections. */
+  readonly limitBackoffMs: Millis;
+  /** A connection without a reply for this long is checked before a write or a transaction uses it. */
+  readonly checkIdleMs: Millis;
+  /** A connection above the daemon's share is closed after this time without work. */
+  readonly surplusIdleMs: Millis;
+  /** Share of a target's connection limit that daemons plan with; the rest covers restarts. */
+  readonly connectionPlanShare: number;
+  /** Age at which a group's newest position sample is renewed. */
+  readonly sampleEveryMs: Millis;
+  /** Time without requests after which a group's positions are no longer sampled. */
+  readonly sampleIdleMs: Millis;
+  /** Subtracted from the allowed age of data for the resolution of the clocks. */
+  readonly stalenessMarginMs: Millis;
+  /** Silence after which a primary that does not answer is suspected. */
+  readonly suspectSilentMs: Millis;
+  /** Time after which a primary that refuses connections is suspected. */
+  readonly suspectRefusedMs: Millis;
+  /** Age up to which another daemon's opinion of a primary counts. */
+  readonly opinionMs: Millis;
+  /** Pause between searches for the primary of a group that has none. */
+  readonly probeEveryMs: Millis;
+  /** Time that the targets get to report their positions before a candidate is chosen. */
+  readonly surveyMs: Millis;
+  /** Head start of each daemon over the next when a group needs a promotion. */
+  readonly promotionStepMs: Millis;
+  /** Time that a promotion gets before the next one may follow. */
+  readonly promotionWaitMs: Millis;
+  /** Expected time from a promotion call to a new primary, until one has been seen. */
+  readonly promotionGuessMs: Millis;
+  /** Expected time until a promotion is called, once a primary is suspected. */
+  readonly detectionGuessMs: Millis;
+  /** Share of the drain time within which a leaving primary is replaced. */
+  readonly leavingShare: number;
+  /** Drain time of a target, from the platform's settings. */
+  readonly targetDrainMs: Millis;
+  /** Time that a target missing from the list stays usable while it answers. */
+  readonly missingMs: Millis;
+  /** Share of the latency objective that a request may wait for a connection. */
+  readonly queueShare: number;
+  /** Least time after which a read is sent to a second target. */
+  readonly hedgeMinMs: Millis;
+  /** A read is sent to a second target after this multiple of its usual time. */
+  readonly hedgeFactor: number;
+  /** Cost factor of a target in another failure domain. */
+  readonly remoteFactor: number;
+  /** Time constant by which a slow target's rating fades without samples. */
+  readonly slownessFadeMs: Millis;
+  /** Age up to which another daemon's report counts. */
+  readonly peerMs: Millis;
+  /** Tries of one statement at targets. */
+  readonly maxTries: number;
+}
+
+/** Defaults; the platform's own bounds replace `targetDrainMs`. */
+export const DEFAULT_DIRECT_SETTINGS: DirectSettings = {
+  tickMs: 25,
+  setupTimeoutMs: 300,
+  openTimeoutMs: 400,
+  reopenMs: 100,
+  limitBackoffMs: 250,
+  checkIdleMs: 500,
+  surplusIdleMs: 1_500,
+  connectionPlanShare: 0.9,
+  sampleEveryMs: 350,
+  sampleIdleMs: 10_000,
+  stalenessMarginMs: 60,
+  suspectSilentMs: 700,
+  suspectRefusedMs: 150,
+  opinionMs: 1_200,
+  probeEveryMs: 100,
+  surveyMs: 250,
+  promotionStepMs: 250,
+  promotionWaitMs: 2_500,
+  promotionGuessMs: 800,
+  detectionGuessMs: 800,
+  leavingShare: 0.5,
+  targetDrainMs: 5_000,
+  missingMs: 3_000,
+  queueShare: 0.75,
+  hedgeMinMs: 120,
+  hedgeFactor: 4,
+  remoteFactor: 1.15,
+  slownessFadeMs: 3_000,
+  peerMs: 2_000,
+  maxTries: 4,
+};
--- /dev/null
+++ b/packages/direct/src/statements.ts
@@ -0,0 +1,113 @@
+import type { Failure, Position, RequestId } from '@rosedeck/shared';
+
+/** Whether a prepared statement reads or writes. */
+export type Access = 'read' | 'write';
+
+/** One statement of a caller, free of any wire format. */
+export type CallerStatement =
+  | { readonly kind: 'begin'; readonly readOnly: boolean }
+  | { readonly kind: 'commit'; readonly text: string }
+  | { readonly kind: 'rollback' }
+  | { readonly kind: 'read' | 'write'; readonly text: string }
+  | { readonly kind: 'set'; readonly name: string; readonly value: string }
+  | {
+      readonly kind: 'prepare';
+      readonly name: string;
+      readonly access: Access;
+      readonly shape: string;
+    }
+  | { readonly kind: 'execute'; readonly name: string; readonly args: string }
+  | { readonly kind: 'close'; readonly name: string }
+  | { readonly kind: 'malformed'; readonly detail: string };
+
+/** State of a caller's session: idle, in a transaction, or in one that has failed. */
+export type SessionState = 'idle' | 'transaction' | 'failed';
+
+/** One operation on a connection to a target. Each gets one reply, in order. */
+export type TargetOp =
+  | { readonly op: 'begin'; readonly readOnly: boolean; readonly after?: Position }
+  | { readonly op: 'rollback' | 'discard' | 'status' }
+  | { readonly op: 'set'; readonly name: string; readonly value: string }
+  | {
+      readonly op: 'prepare';
+      readonly name: string;
+      readonly access: Access;
+      readonly shape: string;
+    }
+  | {
+      readonly op: 'run';
+      readonly id: RequestId;
+      readonly text: string;
+      /** The target must have applied this position before it runs the statement. */
+      readonly after?: Position;
+    };
+
+/** Why a target did not do what it was asked. */
+export type TargetCode =
+  | 'busy'
+  | 'behind'
+  | 'read_only'
+  | 'wrong_target'
+  | 'connection_limit'
+  | 'unknown_prepared'
+  | 'failed'
+  | 'timeout'
+  | 'malformed'
+  | 'other';
+
+/** The reply of a target to one operation. */
+export type TargetReply =
+  | {
+      readonly kind: 'done';
+      readonly rows: readonly string[];
+      /** The target's proof that it ran the statement. */
+      readonly digest: string;
+      readonly inTransaction: boolean;
+      /** Absent when the target gave none. */
+      readonly position?: Position;
+      /** Set for `status`. */
+      readonly status?: TargetStatus;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly code: TargetCode;
+      readonly detail: string;
+      readonly inTransaction: boolean;
+      readonly position?: Position;
+    };
+
+/** A target's account of itself. */
+export interface TargetStatus {
+  readonly role: 'primary' | 'replica';
+  readonly term: number;
+  /** Last log entry that the target holds, applied or not. */
+  readonly received: Position;
+}
+
+/** What a caller is told at the end of a statement. */
+export type CallerAnswer =
+  | { readonly kind: 'done'; readonly rows: readonly string[]; readonly digest: string }
+  | {
+      readonly kind: 'failed';
+      readonly failure: Failure;
+      /** Set for `target_error`: the code that the target gave. */
+      readonly targetCode?: TargetCode;
+    };
+
+/** Codes by which a target says that a statement has not run. */
+const NOT_RUN: ReadonlySet<TargetCode> = new Set([
+  'busy',
+  'behind',
+  'read_only',
+  'wrong_target',
+  'connection_limit',
+  'unknown_prepared',
+]);
+
+/** True when the target says that the statement has not run. */
+export function hasNotRun(code: TargetCode): boolean {
+  return NOT_RUN.has(code);
+}
+
+/** Why a connection to a target ended. */
+export type LossReason = 'refused' | 'closed' | 'silent' | 'limit' | 'wrong_target' | 'protocol';
--- /dev/null
+++ b/packages/direct/src/tables.ts
@@ -0,0 +1,237 @@
+import type {
+  Clock,
+  FailureDomain,
+  GroupId,
+  InstanceId,
+  Millis,
+  Position,
+  RequestId,
+  SessionId,
+  TargetId,
+} from '@rosedeck/shared';
+import type { DirectConfig, ListedTarget, Route } from './configuration';
+import type { DirectEvent } from './notes';
+import type { FleetRow } from './fleet';
+import type { Promotion } from './failover';
+import type { Rating } from './placement';
+import type { SampleHistory } from './samples';
+import type { DirectSettings } from './settings';
+import type {
+  Access,
+  CallerAnswer,
+  LossReason,
+  SessionState,
+  TargetOp,
+  TargetReply,
+  TargetStatus,
+} from './statements';
+
+/** Identifies one connection to a target. */
+export type ConnectionId = number;
+
+/** What the engine asks of its surroundings. It performs no input or output itself. */
+export interface Sides {
+  /** Ends in `connectionOpened` or `connectionLost`. */
+  openConnection: (connection: ConnectionId, target: ListedTarget) => void;
+  closeConnection: (connection: ConnectionId) => void;
+  /** Sends operations; each ends in one `targetReplied`, in order. */
+  send: (connection: ConnectionId, ops: readonly TargetOp[]) => void;
+  answer: (
+    session: SessionId,
+    request: RequestId,
+    answer: CallerAnswer,
+    state: SessionState,
+  ) => void;
+  /** Closes a caller's session that has no request outstanding. */
+  closeSession: (session: SessionId) => void;
+  /** Claims the promotion of a target and orders it; ends in `promotionEnded`. */
+  promote: (group: GroupId, target: TargetId) => void;
+  log: (event: DirectEvent) => void;
+}
+
+/** The reply of a target to one operation, with when the operation was sent. */
+export type ReplyHandler = (reply: TargetReply, sent: SentOp) => void;
+
+/** An operation without a reply so far. */
+export interface SentOp {
+  readonly op: TargetOp['op'];
+  readonly sentAt: Millis;
+  /** Changes when the process was suspended; what was sent before proves nothing after. */
+  readonly epoch: number;
+  readonly handle: ReplyHandler;
+}
+
+/** A connection to a target. */
+export interface ConnectionRow {
+  readonly id: ConnectionId;
+  readonly target: TargetRow;
+  state: 'opening' | 'idle' | 'busy';
+  readonly openedAt: Millis;
+  lastReplyAt: Millis;
+  idleSince: Millis;
+  /** When the present work took the connection. */
+  takenAt: Millis;
+  readonly pending: SentOp[];
+  /** Session values in force on the connection. */
+  readonly values: Map<string, string>;
+  /** Prepared statements on the connection. */
+  readonly prepared: Set<string>;
+  /** Told when the connection ends while work uses it. */
+  onLost?: (reason: LossReason) => void;
+}
+
+/** What this daemon knows of a target. */
+export interface TargetRow {
+  entry: ListedTarget;
+  readonly group: GroupRow;
+  /** Since when the platform's list has lacked the target. */
+  missingSince?: Millis;
+  leavingSince?: Millis;
+  readonly connections: Set<ConnectionRow>;
+  /** Idle connections, the one used last at the end. */
+  readonly idle: ConnectionRow[];
+  openBlockedUntil: Millis;
+  /** Since when the target has answered nothing, though it was asked. */
+  failingSince?: Millis;
+  failures: number;
+  lastFailure?: LossReason;
+  lastReplyAt: Millis;
+  /** Highest position that the target has shown as applied. */
+  applied?: Position;
+  /** A position that the target lacked, and when it said so. */
+  lacks?: { readonly position: Position; readonly at: Millis };
+  /** When the target last said that it does not lead. */
+  notLeadingAt: Millis;
+  status?: { readonly report: TargetStatus; readonly at: Millis };
+  readonly rating: Rating;
+  /** Last probe for leadership. */
+  probedAt: Millis;
+  /** When the platform last rejected the target as a primary. */
+  rejectedAt: Millis;
+}
+
+/** A running mean. */
+export interface Mean {
+  value: number;
+}
+
+/** A database group that the configuration routes to. */
+export interface GroupRow {
+  readonly id: GroupId;
+  connectionLimit: number;
+  readonly targets: Map<TargetId, TargetRow>;
+  primary?: TargetId;
+  /** When the newest proof of the primary's lead was sent; undefined: it is a guess. */
+  primaryProvenAt?: Millis;
+  /** Highest term in which a primary was proven. */
+  term: number;
+  readonly samples: SampleHistory;
+  readonly queue: RequestRow[];
+  lastRequestAt: Millis;
+  /** Usual time that a statement takes at a target, by kind of access. */
+  readonly runMs: Readonly<Record<Access, Mean>>;
+  /** Usual time that work keeps a connection, for work that needs the primary and other work. */
+  readonly holdMs: Readonly<Record<'primary' | 'any', Mean>>;
+  /** Since when the group has lacked a usable primary. */
+  troubledSince?: Millis;
+  suspected?: TargetId;
+  promotion?: Promotion;
+  /** A claim seen in the store: this target is about to lead. */
+  expected?: { readonly target: TargetId; readonly since: Millis };
+  readonly promoteMs: Mean;
+  /** Since when there has been a reason for a promotion. */
+  reasonSince?: Millis;
+  /** No promotion starts before this time. */
+  pausedUntil?: Millis;
+}
+
+/** An open transaction of a caller. */
+export interface TransactionRow {
+  readonly readOnly: boolean;
+  readonly route: Route;
+  readonly beganAt: Millis;
+  connection?: ConnectionRow;
+  wrote: boolean;
+  /** Why the transaction is gone, once it has been rolled back. */
+  lost?: string;
+  lastUsedAt: Millis;
+}
+
+/** A caller's session. */
+export interface SessionRow {
+  readonly id: SessionId;
+  readonly database: string;
+  readonly values: Map<string, string>;
+  readonly prepared: Map<string, { readonly access: Access; readonly shape: string }>;
+  transaction?: TransactionRow;
+  state: SessionState;
+  /** The statement that runs; at most one at a time. */
+  request?: RequestRow;
+  /** Later than every commit that was acknowledged to this session, and when it was. */
+  position?: Position;
+  positionAt: Millis;
+  closed: boolean;
+}
+
+/** One statement that needs a target. */
+export interface RequestRow {
+  readonly id: RequestId;
+  readonly session: SessionRow;
+  readonly route: Route;
+  readonly group: GroupRow;
+  readonly access: Access | 'commit';
+  /** Text for the target; a prepared statement is named anew. */
+  readonly text: string;
+  readonly prepare?: { readonly name: string; readonly access: Access; readonly shape: string };
+  readonly transaction?: TransactionRow;
+  /** Whether the primary alone can serve it; a read may come to need it for lack of a sample. */
+  needsPrimary: boolean;
+  readonly arrivedAt: Millis;
+  readonly deadlineAt: Millis;
+  readonly queueKey: number;
+  stage: 'queued' | 'running' | 'done';
+  /** Targets where a try has failed or is running. */
+  readonly tried: Set<TargetId>;
+  tries: number;
+  /** Connections that work on it. */
+  readonly running: Set<ConnectionRow>;
+  /** True once the statement itself has been sent and no reply has ruled out that it ran. */
+  mayHaveRun: boolean;
+  firstSentAt?: Millis;
+  lastSentAt: Millis;
+  /** When the next try may start. */
+  notBefore: Millis;
+  lastProblem: string;
+  target?: TargetId;
+}
+
+/** All tables of the engine. */
+export interface World {
+  readonly clock: Clock;
+  readonly settings: DirectSettings;
+  readonly sides: Sides;
+  /** Uniform numbers in [0, 1). */
+  readonly random: () => number;
+  readonly self: { readonly name: InstanceId; readonly failureDomain: FailureDomain };
+  config?: DirectConfig;
+  readonly groups: Map<GroupId, GroupRow>;
+  readonly targets: Map<TargetId, TargetRow>;
+  readonly connections: Map<ConnectionId, ConnectionRow>;
+  readonly sessions: Map<SessionId, SessionRow>;
+  readonly running: Set<RequestRow>;
+  readonly fleet: FleetRow;
+  /** Groups whose queues are to be looked at before the engine returns. */
+  readonly woken: Set<GroupRow>;
+  nextConnection: ConnectionId;
+  epoch: number;
+  drainingSince?: Millis;
+  lastTickAt: Millis;
+}
+
+/** Weight of the newest sample in a running mean. */
+const MEAN_WEIGHT = 0.05;
+
+/** Takes in one sample. */
+export function noteMean(mean: Mean, sample: number): void {
+  mean.value += MEAN_WEIGHT * (sample - mean.value);
+}
--- a/packages/shared/src/errorKinds.ts
+++ b/packages/shared/src/errorKinds.ts
@@ -15,7 +15,9 @@
   | 'bad_token'
   | 'unsupported'
   | 'too_large'
-  | 'unknown_group';
+  | 'unknown_group'
+  | 'read_interrupted'
+  | 'unknown_prepared';
 
 /** What is known of the statement behind a failure: it did not run, it may have, or it ran. */
 export type RunState = 'not_run' | 'unknown' | 'ran';
@@ -86,6 +88,14 @@
   bad_token: notRun(1231, '42000', false, 'the session token is not valid'),
   unsupported: notRun(1235, '42000', false, 'the command is not supported'),
   too_large: notRun(1153, '08S01', false, 'the packet is larger than allowed'),
+  read_interrupted: {
+    code: 2013,
+    sqlState: 'HY000',
+    runState: 'unknown',
+    retryAfter: false,
+    text: 'the read ended without an answer',
+  },
+  unknown_prepared: notRun(1243, 'HY000', false, 'the prepared statement does not exist'),
   unknown_group: notRun(1049, '42000', false, 'the database group does not exist'),
 };
 
