--- /dev/null
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -0,0 +1,199 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  addSample,
+  admit,
+  baseShare,
+  chooseCandidate,
+  chooseReadTarget,
+  currentShare,
+  expectedWaitMs,
+  findPromotionReason,
+  findSample,
+  lagBehind,
+  noteResponse,
+  promotionTurn,
+  queueKey,
+  retryAfterMs,
+  slownessAt,
+} from '../src/index';
+import type { PlacementCandidate, PrimaryView, Prospects, SampleHistory } from '../src/index';
+import { createRandom } from './rig';
+
+const target = (id: string, change: Partial<PlacementCandidate> = {}): PlacementCandidate => ({
+  id,
+  isPrimary: false,
+  sameDomain: true,
+  slots: 3,
+  ownInFlight: 0,
+  otherInFlight: 0,
+  slowness: 1,
+  idle: 2,
+  ...change,
+});
+
+/** How often each target is chosen in many draws. */
+function draw(candidates: readonly PlacementCandidate[]): Record<string, number> {
+  const random = createRandom(3);
+  const counts: Record<string, number> = {};
+  for (let at = 0; at < 200; at += 1) {
+    const id = chooseReadTarget(candidates, 1.15, random)?.id ?? 'none';
+    counts[id] = (counts[id] ?? 0) + 1;
+  }
+  return counts;
+}
+
+test('a slow target gets no reads while others are free', () => {
+  assert.equal(draw([target('slow', { slowness: 5 }), target('free')]), { free: 200 });
+});
+
+test('targets that other daemons crowd are left alone', () => {
+  assert.equal(draw([target('crowded', { otherInFlight: 6 }), target('free')]), { free: 200 });
+});
+
+test('equal targets share the reads, the near ones first', () => {
+  const even = draw([target('a'), target('b')]);
+  assert.ok((even.a ?? 0) > 60 && (even.b ?? 0) > 60);
+  assert.equal(draw([target('near'), target('far', { sameDomain: false })]), { near: 200 });
+  assert.equal(draw([target('near', { ownInFlight: 2 }), target('far', { sameDomain: false })]), {
+    far: 200,
+  });
+});
+
+test('the last free connection to the primary is kept from reads', () => {
+  assert.equal(draw([target('p', { isPrimary: true, idle: 1 })]), { none: 200 });
+  assert.equal(draw([target('p', { isPrimary: true, idle: 2 })]), { p: 200 });
+});
+
+test('the rating of a slow target rises with its answers and fades without them', () => {
+  const rating = { slowness: 1, at: 0 };
+  for (let at = 0; at < 20; at += 1) noteResponse(rating, 5, at * 10, 3_000);
+  assert.ok(slownessAt(rating, 200, 3_000) > 4);
+  assert.ok(slownessAt(rating, 15_000, 3_000) < 1.1);
+});
+
+const prospects: Prospects = {
+  ahead: 0,
+  connections: 2,
+  holdMs: 40,
+  primaryWaitMs: 0,
+  aimMs: 400,
+  leftMs: 1_000,
+};
+
+test('a request is queued while its turn comes within its share of the objective', () => {
+  assert.equal(admit(prospects, 0.75), { kind: 'queue' });
+  assert.is(expectedWaitMs({ ...prospects, ahead: 9 }), 200);
+  assert.equal(admit({ ...prospects, ahead: 9 }, 0.75), { kind: 'queue' });
+});
+
+test('a request behind more work than fits is refused at once, with the wait', () => {
+  const verdict = admit({ ...prospects, ahead: 19 }, 0.75);
+  assert.equal(verdict, { kind: 'refuse', reason: 'overloaded', waitMs: 400 });
+});
+
+test('a request is refused at once while no primary is expected in time', () => {
+  const verdict = admit({ ...prospects, primaryWaitMs: 1_500 }, 0.75);
+  assert.equal(verdict, { kind: 'refuse', reason: 'group_unavailable', waitMs: 1_500 });
+  assert.equal(admit({ ...prospects, primaryWaitMs: 100 }, 0.75), { kind: 'queue' });
+});
+
+test('refused callers are told times that differ', () => {
+  const random = createRandom(5);
+  const times = Array.from({ length: 50 }, () => retryAfterMs(200, random));
+  assert.ok(Math.min(...times) >= 200 && Math.max(...times) <= 300);
+  assert.ok(new Set(times).size > 25);
+});
+
+test('urgent and cheap statements go first, and waiting makes up for both', () => {
+  const booking = queueKey(100, 200, 1, 0.4);
+  const beat = queueKey(0, 400, 2, 1);
+  const loop = queueKey(0, 600, 2, 1.7);
+  assert.ok(booking < beat && beat < loop);
+  assert.ok(loop < queueKey(10_000, 200, 1, 0.4));
+});
+
+test('unused connections may be borrowed, the own share never shrinks', () => {
+  const inputs = { limit: 21, daemons: 8, planShare: 0.9 };
+  assert.is(baseShare(inputs), 2);
+  assert.is(currentShare(inputs), 2);
+  assert.is(currentShare({ ...inputs, othersHold: 4 }), 8);
+  assert.is(currentShare({ ...inputs, othersHold: 21 }), 2);
+  assert.is(baseShare({ ...inputs, daemons: 90 }), 1);
+});
+
+test('a read uses the oldest sample that is young enough', () => {
+  const history: SampleHistory = [];
+  for (let at = 0; at < 10; at += 1)
+    addSample(history, { position: { term: 1, index: at }, sentAt: at * 100 });
+  assert.is(findSample(history, 250)?.position.index, 3);
+  assert.is(findSample(history, 901), undefined);
+});
+
+test('samples of a replaced term are dropped, and late ones of it ignored', () => {
+  const history: SampleHistory = [];
+  addSample(history, { position: { term: 1, index: 50 }, sentAt: 100 });
+  addSample(history, { position: { term: 2, index: 45 }, sentAt: 200 });
+  addSample(history, { position: { term: 1, index: 60 }, sentAt: 300 });
+  assert.equal(
+    history.map((sample) => sample.position),
+    [{ term: 2, index: 45 }],
+  );
+});
+
+test('the lag of a replica is the age of the newest sample that it covers', () => {
+  const history: SampleHistory = [];
+  for (let at = 0; at < 10; at += 1)
+    addSample(history, { position: { term: 1, index: at }, sentAt: at * 100 });
+  assert.is(lagBehind(history, { term: 1, index: 9 }, 1_000), 0);
+  assert.is(lagBehind(history, { term: 1, index: 4 }, 1_000), 600);
+  assert.is(lagBehind(history, { term: 0, index: 99 }, 1_000), undefined);
+});
+
+const view: PrimaryView = {
+  known: true,
+  leaving: false,
+  gone: false,
+  suspected: true,
+  troubledMs: 1_000,
+  suspecting: 0,
+  trusting: 0,
+};
+
+test('a primary is replaced when most daemons cannot reach it', () => {
+  assert.is(findPromotionReason({ ...view, suspecting: 4, trusting: 3 }), 'unreachable');
+  assert.is(findPromotionReason({ ...view, suspecting: 2, trusting: 5 }), undefined);
+  assert.is(findPromotionReason({ ...view, suspected: false, suspecting: 7 }), undefined);
+  assert.is(findPromotionReason({ ...view, gone: true, trusting: 3 }), 'gone');
+  assert.is(findPromotionReason({ ...view, suspected: false, leaving: true }), 'leaving');
+  assert.is(findPromotionReason({ ...view, known: false, troubledMs: 300 }), undefined);
+  assert.is(findPromotionReason({ ...view, known: false, troubledMs: 2_000 }), 'nobody_leads');
+});
+
+test('the candidate with the newest log is promoted, a leaving one for want of others', () => {
+  const at = (id: string, index: number, leaving = false, failing = false) => ({
+    id,
+    leaving,
+    failing,
+    answered: true,
+    received: { term: 3, index },
+  });
+  assert.is(chooseCandidate([at('a', 7), at('b', 9), at('c', 8)])?.id, 'b');
+  assert.is(chooseCandidate([at('a', 7), at('b', 9, true)])?.id, 'a');
+  assert.is(chooseCandidate([at('a', 7, false, true), at('b', 9, true)])?.id, 'b');
+  assert.is(chooseCandidate([]), undefined);
+});
+
+test('daemons take turns to promote, each with a place of its own', () => {
+  const names = ['d1', 'd2', 'd3', 'd4'];
+  const turns = names.map((name) =>
+    promotionTurn(
+      name,
+      names.filter((other) => other !== name),
+      'g',
+    ),
+  );
+  assert.equal(turns.toSorted(), [0, 1, 2, 3]);
+});
+
+test.run();
--- /dev/null
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -0,0 +1,160 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { PeerReport } from '../src/index';
+import { createRig, openSession } from './rig';
+import type { Rig } from './rig';
+
+function start(): Rig {
+  const rig = createRig();
+  rig.run(300);
+  openSession(rig, 's', 'bookings');
+  return rig;
+}
+
+/** A report of another daemon about the first target. */
+function report(name: string, reachable: boolean): PeerReport {
+  const opinions = [{ group: 'g', target: 't1', reachable }];
+  return { name, config: 1, view: 1, opinions, loads: [] };
+}
+
+function keepTelling(rig: Rig, reports: readonly PeerReport[], ms: number): void {
+  for (let at = 0; at < ms; at += 200) {
+    for (const one of reports) rig.engine.applyPeer(one);
+    rig.run(200);
+  }
+}
+
+test('a primary that is gone is replaced by the replica with the newest log', () => {
+  const rig = start();
+  const [primary, , newest] = rig.targets;
+  if (newest) newest.received = { term: 1, index: 105 };
+  if (primary) {
+    primary.refusing = true;
+    primary.silent = true;
+    rig.reset(primary);
+  }
+  rig.run(900);
+  assert.equal(rig.promotions, [{ group: 'g', target: 't3' }]);
+});
+
+test('a silent primary is replaced within two seconds', () => {
+  const rig = start();
+  if (rig.targets[0]) rig.targets[0].silent = true;
+  rig.ask('s', { kind: 'read', text: 'READ 1' });
+  rig.run(2_000);
+  assert.is(rig.promotions.length, 1);
+});
+
+test('a primary that most daemons reach is left alone', () => {
+  const rig = start();
+  if (rig.targets[0]) rig.targets[0].silent = true;
+  keepTelling(rig, [report('d2', true), report('d3', true), report('d4', false)], 3_000);
+  assert.is(rig.promotions.length, 0);
+});
+
+test('a primary that most daemons have lost is replaced', () => {
+  const rig = start();
+  if (rig.targets[0]) rig.targets[0].silent = true;
+  keepTelling(rig, [report('d2', false), report('d3', true), report('d4', false)], 2_400);
+  assert.is(rig.promotions.length, 1);
+});
+
+test('a leaving primary is replaced while it still serves', () => {
+  const rig = start();
+  rig.list((entry) => (entry.id === 't1' ? { ...entry, leaving: true } : entry));
+  rig.run(1_000);
+  assert.is(rig.promotions.length, 1);
+  const write = rig.ask('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(50);
+  assert.is(rig.answerOf(write)?.answer.kind, 'done');
+});
+
+test('a leaving primary waits for a replica that receives', () => {
+  const rig = start();
+  for (const target of rig.targets.slice(1)) target.received = { term: 1, index: 90 };
+  rig.ask('s', { kind: 'read', text: 'READ 1' });
+  rig.run(1_200);
+  rig.list((entry) => (entry.id === 't1' ? { ...entry, leaving: true } : entry));
+  rig.run(600);
+  assert.is(rig.promotions.length, 0);
+});
+
+test('one promotion at a time: a claim of another daemon is waited for', () => {
+  const rig = start();
+  if (rig.targets[0]) {
+    rig.targets[0].refusing = true;
+    rig.reset(rig.targets[0]);
+  }
+  rig.engine.claimSeen('g', 't2');
+  rig.run(2_000);
+  assert.is(rig.promotions.length, 0);
+  rig.run(2_500);
+  assert.is(rig.promotions.length, 1);
+});
+
+test('the new primary is found by its own word, and work goes on', () => {
+  const rig = start();
+  const [old, next] = rig.targets;
+  if (!old || !next) throw new Error('no targets');
+  old.refusing = true;
+  old.silent = true;
+  rig.reset(old);
+  rig.run(900);
+  rig.engine.promotionEnded('g', 'ordered');
+  rig.run(300);
+  rig.promote(next);
+  rig.run(300);
+  assert.is(rig.engine.world.groups.get('g')?.primary, next.id);
+  const write = rig.ask('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(60);
+  assert.is(rig.answerOf(write)?.answer.kind, 'done');
+});
+
+test('work that needs the lost primary is refused at once, with a time to come back', () => {
+  const rig = start();
+  const [old] = rig.targets;
+  if (!old) throw new Error('no target');
+  old.refusing = true;
+  old.silent = true;
+  rig.reset(old);
+  rig.run(600);
+  const write = rig.ask('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(1);
+  const answer = rig.answerOf(write)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'group_unavailable');
+  assert.ok(answer?.kind === 'failed' && (answer.failure.retryAfterMs ?? 0) > 0);
+});
+
+test('a target that comes back with a new life is not taken for the old one', () => {
+  const rig = start();
+  rig.run(300);
+  const before = rig.connectionsAt('t2');
+  assert.ok(before > 0);
+  rig.list((entry) => (entry.id === 't2' ? { ...entry, life: 2 } : entry));
+  assert.is(rig.connectionsAt('t2'), 0);
+  rig.run(200);
+  assert.ok(rig.connectionsAt('t2') > 0);
+});
+
+test('targets that the list lost are used a little longer, then dropped', () => {
+  const rig = start();
+  rig.list(() => undefined);
+  const write = rig.ask('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(100);
+  assert.is(rig.answerOf(write)?.answer.kind, 'done');
+  rig.run(3_500);
+  assert.is(rig.engine.world.targets.size, 0);
+});
+
+test('targets that come back to the list in time keep their connections', () => {
+  const rig = start();
+  rig.list(() => undefined);
+  rig.run(2_000);
+  const before = rig.connectionsAt('t1');
+  rig.list();
+  rig.run(4_000);
+  assert.ok(before > 0 && rig.connectionsAt('t1') > 0);
+  assert.is(rig.engine.world.targets.size, 3);
+});
+
+test.run();
--- a/packages/direct/src/admission.ts
+++ b/packages/direct/src/admission.ts
@@ -54,9 +54,21 @@
 }
 
 /**
- * Queue order: lower first. Answers classes of different urgency in one queue: objectives order
- * them, a lower rank stretches them, and waiting makes up for rank so that no class starves.
+ * Queue order: lower first. Answers classes of different urgency and cost in one queue: objectives
+ * order them, a lower rank or a costlier statement stretches them, so that more callers are served
+ * from the same slots; waiting makes up for both, so that no class starves.
  */
-export function queueKey(arrivedAt: Millis, aimMs: Millis, priority: number): number {
-  return arrivedAt + aimMs * (1 + priority);
+export function queueKey(
+  arrivedAt: Millis,
+  aimMs: Millis,
+  priority: number,
+  costRatio: number,
+): number {
+  return arrivedAt + aimMs * (1 + priority) * Math.max(MIN_COST_RATIO, costRatio) ** COST_WEIGHT;
 }
+
+/** Cost of a statement against the group's usual one, below which it makes no difference. */
+const MIN_COST_RATIO = 0.5;
+
+/** Power by which cost stretches a place in the queue. */
+const COST_WEIGHT = 2;
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -1,10 +1,16 @@
 import type { Millis } from '@rosedeck/shared';
-import { currentShare, baseShare } from './connectionShare';
+import { currentShare } from './connectionShare';
 import type { ShareInputs } from './connectionShare';
 import { daemonCount, othersHold } from './fleet';
 import type { LossReason, TargetOp, TargetReply } from './statements';
 import type { ConnectionRow, ReplyHandler, TargetRow, World } from './tables';
 
+/**
+ * Connections to a target that are kept without work. The connections of daemons that lose power
+ * count against the limit for seconds, so that idle ones would lock their successors out.
+ */
+const KEPT_CONNECTIONS = 1;
+
 /** Inputs of this daemon's share of a target's connections. */
 function shareInputs(world: World, target: TargetRow): ShareInputs {
   return {
@@ -15,10 +21,15 @@
   };
 }
 
+/** Connections to the target that this daemon may hold now. */
+export function allowedConnections(world: World, target: TargetRow): number {
+  return currentShare(shareInputs(world, target));
+}
+
 /** True when one more connection to the target may be opened now. */
 export function mayOpen(world: World, target: TargetRow, now: Millis): boolean {
   if (now < target.openBlockedUntil) return false;
-  return target.connections.size < currentShare(shareInputs(world, target));
+  return target.connections.size < allowedConnections(world, target);
 }
 
 /** Opens a connection to a target. */
@@ -152,6 +163,12 @@
   if (reason === 'limit') {
     target.openBlockedUntil = now + world.settings.limitBackoffMs * (1 + world.random());
     noteAnswering(world, target, now);
+    world.sides.log({
+      type: 'target_full',
+      target: target.entry.id,
+      own: target.connections.size,
+      limit: target.group.connectionLimit,
+    });
     return;
   }
   const since = reason === 'silent' ? (row.pending[0]?.sentAt ?? row.openedAt) : now;
@@ -202,8 +219,7 @@
       continue;
     }
     if (row.state === 'idle' && now - row.idleSince > settings.surplusIdleMs) {
-      if (row.target.connections.size > baseShare(shareInputs(world, row.target)))
-        dropConnection(world, row);
+      if (row.target.connections.size > KEPT_CONNECTIONS) dropConnection(world, row);
     }
   }
 }
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -12,11 +12,8 @@
 /** Connections to one target that may be on their way at a time: each takes a slot there. */
 const OPENING_LIMIT = 2;
 
-/** Time after which a target that lacked a position is asked for it again. */
-const BEHIND_RETRY_MS: Millis = 80;
-
-/** Time after a commit within which replicas are expected to lack it. */
-const APPLY_GUESS_MS: Millis = 150;
+/** Time for which a target's last word on how far it is behind is believed. */
+const BEHIND_RETRY_MS: Millis = 150;
 
 /** True while new work may be sent to a target. */
 export function isUsable(world: World, target: TargetRow, now: Millis): boolean {
@@ -118,7 +115,10 @@
   return untried.length > 0 ? untried : pool;
 }
 
-/** Whether a target is expected to have applied a position. */
+/**
+ * Whether a target is expected to have applied a position. Answers replicas that fall behind for
+ * seconds: asking them in vain costs each read a round trip on a scarce connection.
+ */
 function isFresh(
   group: GroupRow,
   row: RequestRow,
@@ -128,11 +128,17 @@
 ): boolean {
   if (after === undefined || target.entry.id === group.primary) return true;
   if (target.applied && covers(target.applied, after)) return true;
-  const { lacks } = target;
-  if (lacks && now - lacks.at < BEHIND_RETRY_MS && covers(after, lacks.position)) return false;
-  if (row.session.position !== undefined && after === row.session.position)
-    return now - row.session.positionAt > APPLY_GUESS_MS;
-  return true;
+  const { lag } = target;
+  // Now and then the target is asked all the same, to learn whether it has caught up.
+  if (!lag || now - lag.at >= BEHIND_RETRY_MS) return true;
+  return now - writtenAt(group, row, after) >= lag.ms;
+}
+
+/** When a position was known to be written, or a session's own commit acknowledged. */
+function writtenAt(group: GroupRow, row: RequestRow, after: Position): Millis {
+  if (row.session.position === after) return row.session.positionAt;
+  const sample = group.samples.find((one) => one.position === after);
+  return sample?.sentAt ?? row.arrivedAt;
 }
 
 function describeTarget(world: World, target: TargetRow, now: Millis): PlacementCandidate {
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -74,7 +74,7 @@
 }
 
 /** Usual times until there are samples. */
-const FIRST_GUESS = { readMs: 25, writeMs: 15, holdPrimaryMs: 120, holdAnyMs: 40 } as const;
+const FIRST_GUESS = { readMs: 25, writeMs: 15, holdPrimaryMs: 60, holdAnyMs: 30 } as const;
 
 /** Sessions closed per tick while draining, so that their callers do not return all at once. */
 const CLOSED_PER_TICK = 8;
@@ -227,6 +227,7 @@
       primary: { value: FIRST_GUESS.holdPrimaryMs },
       any: { value: FIRST_GUESS.holdAnyMs },
     },
+    routeMs: new Map(),
     promoteMs: { value: world.settings.promotionGuessMs },
   };
 }
@@ -241,7 +242,7 @@
     const group = world.groups.get(entry.group);
     if (!group) continue;
     const known = group.targets.get(entry.id);
-    if (!known || known.entry.life !== entry.life || known.entry.address !== entry.address) {
+    if (known?.entry.life !== entry.life || known.entry.address !== entry.address) {
       if (known) removeTarget(world, known);
       addTarget(world, group, entry, now);
       added.push(entry.id);
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -3,7 +3,7 @@
 import { dropConnection, loseConnection, releaseConnection, sendOps } from './connections';
 import { noteLead, noteNotLeading } from './leadership';
 import { noteResponse } from './placement';
-import { laterOf } from './samples';
+import { lagBehind, laterOf } from './samples';
 import { hasNotRun } from './statements';
 import type { CallerAnswer, LossReason, TargetOp, TargetReply } from './statements';
 import { noteMean } from './tables';
@@ -235,7 +235,7 @@
   const { target } = connection;
   const now = world.clock.now();
   row.running.delete(connection);
-  noteReply(target, reply);
+  noteReply(target, reply, now);
   if (reply.kind === 'failed') {
     handleRefusal(world, hooks, row, connection, reply, sent, isWrapped);
     return;
@@ -277,16 +277,22 @@
   else releaseConnection(world, connection, now);
 }
 
-function noteReply(target: TargetRow, reply: TargetReply): void {
+function noteReply(target: TargetRow, reply: TargetReply, now: Millis): void {
   target.applied = laterOf(target.applied, reply.position);
+  if (!reply.position) return;
+  target.lag = { ms: lagBehind(target.group.samples, reply.position, now) ?? Infinity, at: now };
 }
 
 function noteRun(world: World, row: RequestRow, target: TargetRow, tookMs: Millis): void {
   if (row.access === 'commit') return;
   const usual = row.group.runMs[row.access];
+  const expectedMs = row.group.routeMs.get(row.route.name)?.value ?? usual.value;
   const now = world.clock.now();
-  noteResponse(target.rating, tookMs / usual.value, now, world.settings.slownessFadeMs);
+  noteResponse(target.rating, tookMs / expectedMs, now, world.settings.slownessFadeMs);
   noteMean(usual, tookMs);
+  const own = row.group.routeMs.get(row.route.name);
+  if (own) noteMean(own, tookMs);
+  else row.group.routeMs.set(row.route.name, { value: tookMs });
 }
 
 /** A target has said why it did not do what it was asked. */
@@ -303,7 +309,7 @@
   const { target } = connection;
   row.running.delete(connection);
   if (reply.code === 'read_only') noteNotLeading(world, target, sent);
-  if (reply.code === 'behind') noteBehind(world, target, row, now);
+  if (reply.code === 'behind') noteReply(target, reply, now);
   if (reply.code === 'unknown_prepared') connection.prepared.clear();
   const { transaction } = row;
   const isOpen = transaction?.connection === connection;
@@ -349,11 +355,6 @@
   else releaseConnection(world, connection, world.clock.now());
 }
 
-function noteBehind(world: World, target: TargetRow, row: RequestRow, now: Millis): void {
-  const needed = laterOf(row.session.position, row.group.samples.at(-1)?.position);
-  if (needed) target.lacks = { position: needed, at: now };
-}
-
 /** A connection ended under a request. */
 function handleLoss(
   world: World,
@@ -364,7 +365,7 @@
 ): void {
   const wasRunning = row.running.delete(connection);
   const { transaction } = row;
-  const isOpen = transaction !== undefined && transaction.connection === connection;
+  const isOpen = transaction?.connection === connection;
   if (isOpen) transaction.connection = undefined;
   if (row.stage === 'done' || !wasRunning) {
     if (isOpen) transaction.lost = `the connection to the target ended (${reason})`;
--- a/packages/direct/src/notes.ts
+++ b/packages/direct/src/notes.ts
@@ -45,6 +45,12 @@
       readonly reason: LossReason;
       readonly sinceReplyMs: Millis;
     }
+  | {
+      readonly type: 'target_full';
+      readonly target: TargetId;
+      readonly own: number;
+      readonly limit: number;
+    }
   | { readonly type: 'target_regained'; readonly target: TargetId; readonly afterMs: Millis }
   | {
       readonly type: 'primary_changed';
--- a/packages/direct/src/primaryWait.ts
+++ b/packages/direct/src/primaryWait.ts
@@ -4,6 +4,9 @@
 /** Least wait that is expected while a group has no usable primary. */
 const MIN_WAIT_MS: Millis = 50;
 
+/** Time within which probes find a primary that leads already. */
+const SEARCH_MS: Millis = 300;
+
 /** Expected time until the group has a primary that answers; 0 while it has one. */
 export function expectedPrimaryWaitMs(world: World, group: GroupRow, now: Millis): Millis {
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
@@ -14,6 +17,8 @@
     return Math.max(MIN_WAIT_MS, rest);
   }
   if (group.troubledSince === undefined) return 0;
+  // A target that has just lost the lead has lost it to another, which a probe soon finds.
+  if (!primary && now - group.troubledSince < SEARCH_MS) return MIN_WAIT_MS;
   const total = world.settings.detectionGuessMs + group.promoteMs.value;
   return Math.max(MIN_WAIT_MS, group.troubledSince + total - now);
 }
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -5,6 +5,7 @@
 import { isUsable } from './dispatch';
 import { finishAs } from './execution';
 import type { ExecutionHooks } from './execution';
+import { allowedConnections } from './connections';
 import type { Access } from './statements';
 import { expectedPrimaryWaitMs } from './primaryWait';
 import type { GroupRow, RequestRow, SessionRow, TransactionRow, World } from './tables';
@@ -37,7 +38,7 @@
     needsPrimary: isPlain || spec.access === 'write' || route.policy === 'primary',
     arrivedAt: now,
     deadlineAt: now + route.timeoutMs,
-    queueKey: queueKey(now, route.aimMs, route.priority),
+    queueKey: queueKey(now, route.aimMs, route.priority, costRatio(group, route)),
     stage: 'queued',
     tried: new Set(),
     tries: 0,
@@ -49,6 +50,12 @@
   };
 }
 
+/** Usual time of the route's statements against those of the group. */
+function costRatio(group: GroupRow, route: Route): number {
+  const own = group.routeMs.get(route.name);
+  return own === undefined ? 1 : own.value / group.runMs.read.value;
+}
+
 /** Adds a request to the queue of its group, in order. */
 export function enqueueRequest(world: World, row: RequestRow): void {
   const { queue } = row.group;
@@ -65,7 +72,7 @@
   const now = world.clock.now();
   const ahead = { primary: 0, any: 0 };
   for (const row of [...group.queue]) {
-    const lane = row.needsPrimary ? 'primary' : 'any';
+    const lane = laneOf(row);
     const prospects = describeProspects(world, row, ahead[lane], now);
     const waited = now - row.arrivedAt;
     const bounded = { ...prospects, aimMs: Math.max(0, row.route.aimMs - waited) };
@@ -75,17 +82,29 @@
   }
 }
 
+/** A read that lacks only a sample soon has one, and then any target will do. */
+function laneOf(row: RequestRow): 'primary' | 'any' {
+  if (row.route.policy === 'primary' || row.access === 'write') return 'primary';
+  if (row.transaction && !row.transaction.readOnly) return 'primary';
+  return row.group.samples.length === 0 ? 'any' : row.needsPrimary ? 'primary' : 'any';
+}
+
 function describeProspects(world: World, row: RequestRow, ahead: number, now: Millis): Prospects {
   const { group } = row;
+  const lane = laneOf(row);
   let connections = 0;
   for (const target of group.targets.values()) {
-    if (row.needsPrimary && target.entry.id !== group.primary) continue;
-    if (isUsable(world, target, now)) connections += target.connections.size;
+    if (lane === 'primary' && target.entry.id !== group.primary) continue;
+    if (!isUsable(world, target, now)) continue;
+    const canOpen = now >= target.openBlockedUntil;
+    connections += canOpen
+      ? Math.max(target.connections.size, allowedConnections(world, target))
+      : target.connections.size;
   }
   return {
     ahead,
     connections,
-    holdMs: group.holdMs[row.needsPrimary ? 'primary' : 'any'].value,
+    holdMs: group.holdMs[lane].value,
     primaryWaitMs: row.needsPrimary ? expectedPrimaryWaitMs(world, group, now) : 0,
     aimMs: row.route.aimMs,
     leftMs: row.deadlineAt - now,
--- a/packages/direct/src/samples.ts
+++ b/packages/direct/src/samples.ts
@@ -1,4 +1,4 @@
-import { positionOrd } from '@rosedeck/shared';
+import { covers, positionOrd } from '@rosedeck/shared';
 import type { Millis, Position } from '@rosedeck/shared';
 
 /** A position of the primary's log that covers every commit acknowledged before `sentAt`. */
@@ -38,6 +38,21 @@
   return history.find((sample) => sample.sentAt >= notBefore);
 }
 
+/**
+ * How far a log that has applied `applied` is behind the primary: the age of the newest sample that
+ * it covers; 0 when it covers them all, undefined when it covers none.
+ */
+export function lagBehind(
+  history: SampleHistory,
+  applied: Position,
+  now: Millis,
+): Millis | undefined {
+  const newest = history.at(-1);
+  if (!newest || covers(applied, newest.position)) return 0;
+  const covered = history.findLast((sample) => covers(applied, sample.position));
+  return covered && now - covered.sentAt;
+}
+
 /** The later of two positions, either of which may be unknown. */
 export function laterOf(a: Position | undefined, b: Position | undefined): Position | undefined {
   if (!a || !b) return a ?? b;
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -14,7 +14,7 @@
   readonly limitBackoffMs: Millis;
   /** A connection without a reply for this long is checked before a write or a transaction uses it. */
   readonly checkIdleMs: Millis;
-  /** A connection above the daemon's share is closed after this time without work. */
+  /** A connection beyond the ones that are kept is closed after this time without work. */
   readonly surplusIdleMs: Millis;
   /** Share of a target's connection limit that daemons plan with; the rest covers restarts. */
   readonly connectionPlanShare: number;
@@ -72,7 +72,7 @@
   reopenMs: 100,
   limitBackoffMs: 250,
   checkIdleMs: 500,
-  surplusIdleMs: 1_500,
+  surplusIdleMs: 500,
   connectionPlanShare: 0.9,
   sampleEveryMs: 350,
   sampleIdleMs: 10_000,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -98,8 +98,8 @@
   lastReplyAt: Millis;
   /** Highest position that the target has shown as applied. */
   applied?: Position;
-  /** A position that the target lacked, and when it said so. */
-  lacks?: { readonly position: Position; readonly at: Millis };
+  /** How far the target's data was behind the primary's when it last replied. */
+  lag?: { readonly ms: Millis; readonly at: Millis };
   /** When the target last said that it does not lead. */
   notLeadingAt: Millis;
   status?: { readonly report: TargetStatus; readonly at: Millis };
@@ -130,6 +130,8 @@
   lastRequestAt: Millis;
   /** Usual time that a statement takes at a target, by kind of access. */
   readonly runMs: Readonly<Record<Access, Mean>>;
+  /** Usual time that a read or write of a route takes at a target, by route name. */
+  readonly routeMs: Map<string, Mean>;
   /** Usual time that work keeps a connection, for work that needs the primary and other work. */
   readonly holdMs: Readonly<Record<'primary' | 'any', Mean>>;
   /** Since when the group has lacked a usable primary. */
