--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -2,10 +2,9 @@
 import { slotShare } from './connections';
 import { expectedWait, laneTimesOf, upperBound } from './estimates';
 import { fairQueueOf } from './groupQueue';
-import type { GroupQueue } from './groupQueue';
 import { expectedRest, holdEndsAt } from './primaryGap';
-import { refuse } from './requests';
-import type { GroupRow, RequestRow } from './tables';
+import { refuse } from './finishing';
+import type { GroupQueue, GroupRow, RequestRow } from './tables';
 import { targetsOf } from './world';
 import type { World } from './world';
 
--- a/packages/core/src/circuit.ts
+++ b/packages/core/src/circuit.ts
@@ -1,16 +1,8 @@
 import type { Millis } from '@rosedeck/shared';
-import type { TargetRow } from './tables';
+import type { Circuit, TargetRow } from './tables';
 import { spreadAround } from './world';
 import type { World } from './world';
 
-/** How a target has fared lately. */
-export interface Circuit {
-  /** Failures since the last success. */
-  failures: number;
-  /** No new work goes to the target before this time. */
-  openUntil: Millis;
-}
-
 /** Creates a closed circuit. */
 export function createCircuit(): Circuit {
   return { failures: 0, openUntil: 0 };
--- a/packages/core/src/confirmation.ts
+++ b/packages/core/src/confirmation.ts
@@ -1,4 +1,4 @@
-import { finishRequest, refuse } from './requests';
+import { finishRequest, refuse } from './finishing';
 import { lastSample } from './rounds';
 import type { GroupRow, RequestRow } from './tables';
 import { majorityOf, targetsOf } from './world';
--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -12,16 +12,15 @@
 import { executeRequest } from './execution';
 import { isFreshEnough, resolveMinPosition } from './freshness';
 import { laneTimesOf, noteWait } from './estimates';
-import type { FairQueue } from './fairQueue';
 import { dequeueRequest, enqueueRequest } from './groupQueue';
 import { isStalled, lockReserve, noteStall } from './lockStall';
 import { endOutdatedWork, isSilent } from './outdated';
 import type { ReadCandidate } from './policies';
 import { hasUsablePrimary, holdEndsAt, trackGap } from './primaryGap';
 import { passOnIfCutOff } from './reachability';
-import { refuse } from './requests';
+import { refuse } from './finishing';
 import { isHeldBack, takesWork } from './switchover';
-import type { GroupRow, RequestRow, TargetRow } from './tables';
+import type { FairQueue, GroupRow, RequestRow, TargetRow } from './tables';
 import { runUpkeep } from './upkeep';
 import { targetsOf } from './world';
 import type { World } from './world';
--- a/packages/core/src/entryRequests.ts
+++ b/packages/core/src/entryRequests.ts
@@ -4,7 +4,8 @@
 import { findOutcomeRule, mayRepeat, truthfulKind } from './outcomeRules';
 import { identityOf } from './outcomes';
 import { ownersOf } from './ownership';
-import { FORWARDS_LIMIT, failureAnswer } from './requests';
+import { failureAnswer } from './finishing';
+import { FORWARDS_LIMIT } from './requests';
 import { earnRetry, spendRetry } from './retryBudget';
 import { breaksTransaction, raiseMinimum, updateTransaction } from './sessionState';
 import type { CallerStatement, EntryRequestRow, SessionRow } from './sessionState';
--- a/packages/core/src/estimates.ts
+++ b/packages/core/src/estimates.ts
@@ -1,28 +1,5 @@
 import type { Millis } from '@rosedeck/shared';
-import type { RequestRow } from './tables';
-
-/** A running mean and its mean deviation. */
-export interface Estimate {
-  /** Undefined until the first sample. */
-  mean?: Millis;
-  deviation: Millis;
-}
-
-/** Running estimates for the reads or the writes of a group. */
-export interface LaneTimes {
-  /** Time that one request occupies a slot. */
-  readonly slot: Estimate;
-  /** Time from sending a request to its answer, confirmation included. */
-  readonly finish: Estimate;
-  /** Waiting time for each request ahead, by class rank; higher classes lengthen it. */
-  readonly perRow: Map<number, Estimate>;
-}
-
-/** Running estimates of a group. */
-export interface GroupTimes {
-  readonly reads: LaneTimes;
-  readonly writes: LaneTimes;
-}
+import type { Estimate, GroupTimes, LaneTimes, RequestRow } from './tables';
 
 /** Weight of the newest sample. */
 const WEIGHT = 0.1;
--- a/packages/core/src/execution.ts
+++ b/packages/core/src/execution.ts
@@ -11,7 +11,7 @@
 import { fairQueueOf } from './groupQueue';
 import type { Execution, OkAnswer, RowsAnswer } from './messages';
 import { findOutcomeRule, mayRepeat } from './outcomeRules';
-import { finishRequest, refuse } from './requests';
+import { finishRequest, refuse } from './finishing';
 import { spendRetry } from './retryBudget';
 import { ROLLED_BACK_CODES } from './sessionState';
 import type { ConnectionRow, GroupRow, RequestRow, TargetRow } from './tables';
--- a/packages/core/src/fairQueue.ts
+++ b/packages/core/src/fairQueue.ts
@@ -1,24 +1,5 @@
 import type { CustomerId, Millis } from '@rosedeck/shared';
-import type { RequestRow } from './tables';
-
-/** Requests of one kind, by class and customer. Every change of it costs the same at any length. */
-export interface FairQueue {
-  readonly length: number;
-  add: (row: RequestRow) => void;
-  /** Adds a request that has waited its turn before; it goes ahead of its class. */
-  addRetry: (row: RequestRow) => void;
-  /** Removes a request; a customer that was `served` goes behind the others of the class. */
-  remove: (row: RequestRow, served: boolean) => void;
-  has: (row: RequestRow) => boolean;
-  /** Requests in strict order of classes, with customers of a class taking turns. */
-  inOrder: () => Iterable<RequestRow>;
-  /** The request that has waited longest, when it has aged and others go before it. */
-  oldestAged: (now: Millis, ageingMs: Millis) => RequestRow | undefined;
-  /** Requests that would go before a new one of this rank and customer. */
-  countBefore: (rank: number, customer: CustomerId) => number;
-  /** The request that gives way to a new one: of a lower class, or of a customer with more of them. */
-  findVictim: (rank: number, customer: CustomerId) => RequestRow | undefined;
-}
+import type { FairQueue, RequestRow } from './tables';
 
 interface ClassQueue {
   readonly rank: number;
--- a/packages/core/src/groupChanges.ts
+++ b/packages/core/src/groupChanges.ts
@@ -3,7 +3,7 @@
 import { dropConnection, plannedShare } from './connections';
 import { createGroupTimes } from './estimates';
 import { createGroupQueue, isPinned } from './groupQueue';
-import { refuse } from './requests';
+import { refuse } from './finishing';
 import { createRetryBudget } from './retryBudget';
 import type { GroupRow, GroupSpec, TargetRow, TargetSpec } from './tables';
 import type { World } from './world';
--- a/packages/core/src/groupQueue.ts
+++ b/packages/core/src/groupQueue.ts
@@ -1,22 +1,5 @@
 import { createFairQueue } from './fairQueue';
-import type { FairQueue } from './fairQueue';
-import type { RequestRow } from './tables';
-
-/** Requests of a group that wait for dispatch, by what they wait for. */
-export interface GroupQueue {
-  /** All requests that wait. */
-  readonly length: number;
-  /** Statements of open transactions; each waits for a slot only. */
-  readonly pinned: Set<RequestRow>;
-  /** Reads that wait for a sample sent after their arrival, in order of arrival. */
-  readonly sampling: Set<RequestRow>;
-  readonly reads: FairQueue;
-  readonly writes: FairQueue;
-  /** True when the last dispatch found a read that only newer reports can free. */
-  starved: boolean;
-  /** Dispatches since one went to the request that had aged longest. */
-  sinceAged: number;
-}
+import type { FairQueue, GroupQueue, RequestRow } from './tables';
 
 /** Creates an empty queue. */
 export function createGroupQueue(): GroupQueue {
--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -1,7 +1,7 @@
 import murmurhash from 'murmurhash';
 import type { FailureDomain, GroupId, InstanceId, Millis, RequestId } from '@rosedeck/shared';
 import type { Operation } from './messages';
-import type { PeerRow } from './tables';
+import type { OwnersCache, PeerRow } from './tables';
 import type { World } from './world';
 
 /** An instance that may own groups. */
@@ -52,13 +52,6 @@
   return !peer.leaving && peer.leavingUntil <= now && peer.suspectedUntil <= now;
 }
 
-/** Owners by group, kept until the membership changes. */
-export interface OwnersCache {
-  readonly owners: Map<GroupId, readonly InstanceId[]>;
-  /** When the first suspicion or announced leaving ends; the live instances change then. */
-  validUntil: Millis;
-}
-
 /** Creates an empty cache. */
 export function createOwnersCache(): OwnersCache {
   return { owners: new Map(), validUntil: Infinity };
--- a/packages/core/src/primaryGap.ts
+++ b/packages/core/src/primaryGap.ts
@@ -4,16 +4,6 @@
 import type { GroupRow } from './tables';
 import type { World } from './world';
 
-/** Times without a usable primary. */
-export interface PrimaryGap {
-  /** Since when there has been none. */
-  since?: Millis;
-  /** When the last one ended. */
-  endedAt: Millis;
-  /** How long such a time is expected to last. */
-  expectedMs: Millis;
-}
-
 /** Share of the estimate that one shorter gap replaces. */
 const DECAY = 0.2;
 
--- a/packages/core/src/reachability.ts
+++ b/packages/core/src/reachability.ts
@@ -1,7 +1,8 @@
 import { createFailure } from '@rosedeck/shared';
 import type { InstanceId, Millis } from '@rosedeck/shared';
 import { liveCandidates, rankOwners } from './ownership';
-import { FORWARDS_LIMIT, finishRequest } from './requests';
+import { finishRequest } from './finishing';
+import { FORWARDS_LIMIT } from './requests';
 import { silenceOf } from './silence';
 import type { GroupRow, RequestRow, TargetRow } from './tables';
 import { targetsOf } from './world';
--- a/packages/core/src/sessions.ts
+++ b/packages/core/src/sessions.ts
@@ -4,7 +4,7 @@
 import { createEntryRequest, followRequest, sendAbandon, sendRequest } from './entryRequests';
 import type { Answer, Operation } from './messages';
 import { pickOwner } from './ownership';
-import { failureAnswer } from './requests';
+import { failureAnswer } from './finishing';
 import { raiseMinimum } from './sessionState';
 import type { CallerStatement, EntryRequestRow, SessionRow } from './sessionState';
 import { queueCommand, recordNote } from './world';
--- a/packages/core/src/tables.ts
+++ b/packages/core/src/tables.ts
@@ -10,12 +10,8 @@
   TargetId,
   TransactionId,
 } from '@rosedeck/shared';
-import type { Circuit } from './circuit';
 import type { ConnectionId } from './commands';
-import type { GroupTimes } from './estimates';
-import type { GroupQueue } from './groupQueue';
 import type { Answer, OwnerRequest, TargetReport } from './messages';
-import type { PrimaryGap } from './primaryGap';
 import type { RetryBudget } from './retryBudget';
 
 /** A target as the configuration describes it. */
@@ -240,3 +236,86 @@
   /** The peer itself has said that it drains; the list may say so later. */
   leavingUntil: Millis;
 }
+
+/** How a target has fared lately. */
+export interface Circuit {
+  /** Failures since the last success. */
+  failures: number;
+  /** No new work goes to the target before this time. */
+  openUntil: Millis;
+}
+
+/** A running mean and its mean deviation. */
+export interface Estimate {
+  /** Undefined until the first sample. */
+  mean?: Millis;
+  deviation: Millis;
+}
+
+/** Running estimates for the reads or the writes of a group. */
+export interface LaneTimes {
+  /** Time that one request occupies a slot. */
+  readonly slot: Estimate;
+  /** Time from sending a request to its answer, confirmation included. */
+  readonly finish: Estimate;
+  /** Waiting time for each request ahead, by class rank; higher classes lengthen it. */
+  readonly perRow: Map<number, Estimate>;
+}
+
+/** Running estimates of a group. */
+export interface GroupTimes {
+  readonly reads: LaneTimes;
+  readonly writes: LaneTimes;
+}
+
+/** Requests of one kind, by class and customer. Every change of it costs the same at any length. */
+export interface FairQueue {
+  readonly length: number;
+  add: (row: RequestRow) => void;
+  /** Adds a request that has waited its turn before; it goes ahead of its class. */
+  addRetry: (row: RequestRow) => void;
+  /** Removes a request; a customer that was `served` goes behind the others of the class. */
+  remove: (row: RequestRow, served: boolean) => void;
+  has: (row: RequestRow) => boolean;
+  /** Requests in strict order of classes, with customers of a class taking turns. */
+  inOrder: () => Iterable<RequestRow>;
+  /** The request that has waited longest, when it has aged and others go before it. */
+  oldestAged: (now: Millis, ageingMs: Millis) => RequestRow | undefined;
+  /** Requests that would go before a new one of this rank and customer. */
+  countBefore: (rank: number, customer: CustomerId) => number;
+  /** The request that gives way to a new one: of a lower class, or of a customer with more of them. */
+  findVictim: (rank: number, customer: CustomerId) => RequestRow | undefined;
+}
+
+/** Requests of a group that wait for dispatch, by what they wait for. */
+export interface GroupQueue {
+  /** All requests that wait. */
+  readonly length: number;
+  /** Statements of open transactions; each waits for a slot only. */
+  readonly pinned: Set<RequestRow>;
+  /** Reads that wait for a sample sent after their arrival, in order of arrival. */
+  readonly sampling: Set<RequestRow>;
+  readonly reads: FairQueue;
+  readonly writes: FairQueue;
+  /** True when the last dispatch found a read that only newer reports can free. */
+  starved: boolean;
+  /** Dispatches since one went to the request that had aged longest. */
+  sinceAged: number;
+}
+
+/** Times without a usable primary. */
+export interface PrimaryGap {
+  /** Since when there has been none. */
+  since?: Millis;
+  /** When the last one ended. */
+  endedAt: Millis;
+  /** How long such a time is expected to last. */
+  expectedMs: Millis;
+}
+
+/** Owners by group, kept until the membership changes. */
+export interface OwnersCache {
+  readonly owners: Map<GroupId, readonly InstanceId[]>;
+  /** When the first suspicion or announced leaving ends; the live instances change then. */
+  validUntil: Millis;
+}
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -16,12 +16,12 @@
 import type { Outcomes } from './outcomes';
 import type { Policies } from './policies';
 import type { Scheduler } from './scheduler';
-import type { OwnersCache } from './ownership';
 import type { EntryRequestRow, SessionRow } from './sessionState';
 import type { CoreSettings } from './settings';
 import type {
   ConnectionRow,
   GroupRow,
+  OwnersCache,
   PeerRow,
   RequestRow,
   TargetRow,
--- a/packages/direct/__tests__/transactions.spec.ts
+++ b/packages/direct/__tests__/transactions.spec.ts
@@ -29,7 +29,7 @@
   rig.run(40);
   assert.is(kindOf(rig.answerOf(commit)), 'done');
   assert.is(rig.answerOf(commit)?.state, 'idle');
-  assert.is(connection?.state, 'idle');
+  assert.is(connection.state, 'idle');
 });
 
 test('no other session uses the connection of an open transaction', () => {
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -22,9 +22,9 @@
 import { expireRunning } from './execution';
 import type { ExecutionHooks } from './execution';
 import { applyPromotionEnd, expectPrimary, runFailover } from './failover';
-import type { PromotionResult } from './failover';
+import type { PromotionResult } from './promotionTypes';
 import { createFleet, daemonCount, expirePeers, notePeer } from './fleet';
-import type { PeerReport } from './fleet';
+import type { PeerReport } from './peerReport';
 import { enqueueRequest, shedHopeless } from './requests';
 import { applyStatement, closeSession, endAtTarget, finishRequest, openSession } from './sessions';
 import type { DirectSettings } from './settings';
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -11,32 +11,9 @@
 import { isUsable } from './dispatch';
 import { countOpinions } from './fleet';
 import { noteLead, noteNotLeading, reviewPrimary } from './leadership';
+import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
 import type { GroupRow, TargetRow, World } from './tables';
 
-/** Why a group needs another primary. */
-export type PromotionReason = 'unreachable' | 'leaving' | 'gone' | 'nobody_leads';
-
-/** How a promotion order ended. */
-export type PromotionResult =
-  | 'ordered'
-  /** Another daemon holds the claim. */
-  | 'lost_claim'
-  /** The platform does not accept the target, or a newer claim has been used. */
-  | 'rejected'
-  /** No answer; the order may still be carried out. */
-  | 'unknown'
-  /** Nothing was claimed or ordered. */
-  | 'unavailable';
-
-/** A promotion that this daemon drives. */
-export interface Promotion {
-  readonly reason: PromotionReason;
-  readonly startedAt: Millis;
-  stage: 'survey' | 'ordered';
-  candidate?: TargetId;
-  orderedAt?: Millis;
-}
-
 /** What decides whether a group needs a promotion. */
 export interface PrimaryView {
   readonly known: boolean;
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -1,40 +1,7 @@
-import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
+import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
+import type { FleetRow, PeerReport } from './peerReport';
 import type { World } from './tables';
 
-/** A daemon's opinion of a group's primary. */
-export interface PrimaryOpinion {
-  readonly group: GroupId;
-  readonly target: TargetId;
-  /** False: it answers nothing here. */
-  readonly reachable: boolean;
-}
-
-/** What daemons tell each other several times a second. */
-export interface PeerReport {
-  readonly name: InstanceId;
-  /** Configuration version in force. */
-  readonly config: number;
-  /** Highest store revision among the listed targets and the configuration. */
-  readonly view: number;
-  readonly opinions: readonly PrimaryOpinion[];
-  /** Connections and statements in flight, by target. */
-  readonly loads: readonly (readonly [TargetId, number, number])[];
-}
-
-/** Another daemon, as its last report shows it. */
-export interface PeerRow {
-  report: PeerReport;
-  at: Millis;
-  loads: ReadonlyMap<TargetId, { readonly connections: number; readonly inFlight: number }>;
-}
-
-/** What this daemon knows of the others. */
-export interface FleetRow {
-  readonly peers: Map<InstanceId, PeerRow>;
-  /** Daemons that the platform's directory shows, this one included. */
-  listed: number;
-}
-
 /** Creates a fleet without other daemons. */
 export function createFleet(): FleetRow {
   return { peers: new Map(), listed: 1 };
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -11,8 +11,8 @@
 } from '@rosedeck/shared';
 import type { DirectConfig, ListedTarget, Route } from './configuration';
 import type { DirectEvent } from './notes';
-import type { FleetRow } from './fleet';
-import type { Promotion } from './failover';
+import type { FleetRow } from './peerReport';
+import type { Promotion } from './promotionTypes';
 import type { Rating } from './placement';
 import type { SampleHistory } from './samples';
 import type { DirectSettings } from './settings';
--- a/packages/mysql/src/answerWriter.ts
+++ b/packages/mysql/src/answerWriter.ts
@@ -2,7 +2,6 @@
 import { formatPosition } from '@rosedeck/shared';
 import type { Position } from '@rosedeck/shared';
 import { writeBinaryRow } from './binaryRow';
-import type { TextEncoding } from './charsets';
 import { isBinaryColumn } from './columns';
 import {
   CHARSET_BINARY,
@@ -13,7 +12,15 @@
   STATUS_IN_TRANSACTION,
   STATUS_SESSION_STATE_CHANGED,
 } from './packetTypes';
-import type { Packet, PacketConstructor } from './packetTypes';
+import {
+  PREFIX_BYTES,
+  reserve,
+  openPacket,
+  closePacket,
+  writeText,
+  writeBase64,
+} from './packetWriter';
+import type { AnswerWriter } from './packetWriter';
 
 /** Content of an OK packet. */
 export interface OkContent {
@@ -35,127 +42,6 @@
   readonly binary: boolean;
 }
 
-/** What the form of answers depends on. */
-export interface ClientTraits {
-  readonly encoding: TextEncoding;
-  /** True for a client that reads session state in OK packets. */
-  readonly tracksSession: boolean;
-}
-
-/** Traits of a client of which nothing is known yet. */
-export const UNKNOWN_CLIENT: ClientTraits = { encoding: 'utf8', tracksSession: false };
-
-/** Packets under construction, written with the library's packet writers. */
-export interface AnswerWriter {
-  readonly Constructor: PacketConstructor;
-  packet: Packet;
-  /** Where the open packet begins. */
-  start: number;
-  sequence: number;
-  client: ClientTraits;
-  sink: (bytes: Buffer) => void;
-}
-
-const HEADER_BYTES = 4;
-const SCRATCH_BYTES = 64 * 1_024;
-/** A chunk goes to the socket once it has this many bytes. */
-const FLUSH_BYTES = 32 * 1_024;
-/** Length prefix at most. */
-const PREFIX_BYTES = 9;
-/** A payload of this length or more would have to be split. */
-const PACKET_LIMIT_BYTES = 0xff_ff_ff;
-
-/** Creates a writer, which serves one answer at a time. */
-export function createAnswerWriter(Constructor: PacketConstructor): AnswerWriter {
-  const buffer = Buffer.allocUnsafeSlow(SCRATCH_BYTES);
-  return {
-    Constructor,
-    packet: new Constructor(0, buffer, 0, buffer.length),
-    start: 0,
-    sequence: 0,
-    client: UNKNOWN_CLIENT,
-    sink: () => undefined,
-  };
-}
-
-/** Begins an answer. */
-export function beginAnswer(
-  writer: AnswerWriter,
-  sequence: number,
-  client: ClientTraits,
-  sink: (bytes: Buffer) => void,
-): void {
-  writer.packet.offset = 0;
-  writer.sequence = sequence;
-  writer.client = client;
-  writer.sink = sink;
-}
-
-/** Hands what is written to the socket. */
-export function endAnswer(writer: AnswerWriter): void {
-  const { packet } = writer;
-  if (packet.offset > 0) writer.sink(Buffer.from(packet.buffer.subarray(0, packet.offset)));
-  packet.offset = 0;
-  if (packet.buffer.length > SCRATCH_BYTES)
-    useBuffer(writer, Buffer.allocUnsafeSlow(SCRATCH_BYTES));
-}
-
-/** Makes room for `bytes` more. */
-export function reserve(writer: AnswerWriter, bytes: number): void {
-  const { packet } = writer;
-  const needed = packet.offset + bytes;
-  if (needed <= packet.buffer.length) return;
-  const buffer = Buffer.allocUnsafeSlow(Math.max(needed, packet.buffer.length * 2));
-  packet.buffer.copy(buffer, 0, 0, packet.offset);
-  useBuffer(writer, buffer);
-}
-
-function useBuffer(writer: AnswerWriter, buffer: Buffer): void {
-  const { offset } = writer.packet;
-  writer.packet = new writer.Constructor(0, buffer, 0, buffer.length);
-  writer.packet.offset = Math.min(offset, buffer.length);
-}
-
-function openPacket(writer: AnswerWriter): void {
-  reserve(writer, HEADER_BYTES);
-  writer.start = writer.packet.offset;
-  writer.packet.offset += HEADER_BYTES;
-}
-
-/** Ends a packet; false when it is too long for one, and it is dropped. */
-function closePacket(writer: AnswerWriter): boolean {
-  const { packet, start } = writer;
-  const end = packet.offset;
-  const length = end - start - HEADER_BYTES;
-  packet.offset = start;
-  if (length >= PACKET_LIMIT_BYTES) return false;
-  packet.writeInt24(length);
-  packet.writeInt8(writer.sequence);
-  packet.offset = end;
-  writer.sequence = (writer.sequence + 1) % 256;
-  if (end >= FLUSH_BYTES) endAnswer(writer);
-  return true;
-}
-
-/** Writes text with its length, in the client's encoding. */
-export function writeText(writer: AnswerWriter, text: string): void {
-  if (writer.client.encoding === 'utf8') {
-    const bytes = Buffer.byteLength(text);
-    reserve(writer, PREFIX_BYTES + bytes);
-    writer.packet.writeLengthCodedUtf8String(text, bytes);
-    return;
-  }
-  reserve(writer, PREFIX_BYTES + text.length * 4);
-  writer.packet.writeLengthCodedString(text, writer.client.encoding);
-}
-
-/** Writes the bytes of a base64 cell with their length. */
-export function writeBase64(writer: AnswerWriter, base64: string): void {
-  const bytes = Buffer.from(base64, 'base64');
-  reserve(writer, PREFIX_BYTES + bytes.length);
-  writer.packet.writeLengthCodedBuffer(bytes);
-}
-
 /** Bytes of the fixed part of an OK packet at most. */
 const OK_BYTES = 32;
 
--- a/packages/mysql/src/binaryRow.ts
+++ b/packages/mysql/src/binaryRow.ts
@@ -1,6 +1,6 @@
 import type { Cell, Column } from '@rosedeck/core';
-import { reserve, writeBase64, writeText } from './answerWriter';
-import type { AnswerWriter } from './answerWriter';
+import { reserve, writeBase64, writeText } from './packetWriter';
+import type { AnswerWriter } from './packetWriter';
 import { COLUMN_TYPE } from './packetTypes';
 import type { Packet, TimeParts } from './packetTypes';
 
--- a/packages/mysql/src/server.ts
+++ b/packages/mysql/src/server.ts
@@ -2,13 +2,8 @@
 import type { AddressInfo, Socket } from 'node:net';
 import mysql from 'mysql2';
 import type { Millis } from '@rosedeck/shared';
-import {
-  UNKNOWN_CLIENT,
-  beginAnswer,
-  createAnswerWriter,
-  endAnswer,
-  writeError,
-} from './answerWriter';
+import { writeError } from './answerWriter';
+import { UNKNOWN_CLIENT, beginAnswer, createAnswerWriter, endAnswer } from './packetWriter';
 import { startLogin } from './login';
 import type { AcceptedLogin, LoginEncryption, LoginRules } from './login';
 import {
--- a/packages/mysql/src/serverConnection.ts
+++ b/packages/mysql/src/serverConnection.ts
@@ -2,8 +2,6 @@
 import type { Column, Cell } from '@rosedeck/core';
 import type { Millis } from '@rosedeck/shared';
 import {
-  beginAnswer,
-  endAnswer,
   writeError,
   writeOk,
   writePasswordAccepted,
@@ -11,7 +9,9 @@
   writePrepared,
   writeRows,
 } from './answerWriter';
-import type { AnswerWriter, ClientTraits, OkContent } from './answerWriter';
+import { beginAnswer, endAnswer } from './packetWriter';
+import type { OkContent } from './answerWriter';
+import type { AnswerWriter, ClientTraits } from './packetWriter';
 import { encodingOfNumber } from './charsets';
 import type { TextEncoding } from './charsets';
 import { readCommand } from './commandReader';
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -2,6 +2,7 @@
 import { readdirSync } from 'node:fs';
 import path from 'node:path';
 import { readKnownRed } from './knownRed';
+import { listWorkspaces } from './sourceFiles';
 
 /** What the test runner said of one package. */
 interface SuiteResult {
@@ -14,9 +15,9 @@
 /** Folders of test files; a package named on the command line narrows them. */
 function listSuites(): string[] {
   const only = process.argv[2];
-  return readdirSync('packages')
-    .filter((name) => only === undefined || name === only)
-    .map((name) => path.join('packages', name, '__tests__'))
+  return listWorkspaces()
+    .filter((folder) => only === undefined || path.basename(folder) === only)
+    .map((folder) => path.join(folder, '__tests__'))
     .filter((folder) => hasSpecs(folder));
 }
 
