feat(direct): bound what targets get per slot; hedge only into free slots; drain past the last callers

Ruled out: queue order (the same with a plain queue). Change: at most 2.5 statements per slot over all daemons, hedges only with a free slot and an empty queue, and no end of the process before the platform has stopped sending callers.

--- /dev/null
+++ b/packages/direct/__tests__/load.spec.ts
@@ -0,0 +1,181 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { CallerStatement } from '../src/index';
+import { createRandom, createRig, openSession, ROUTES } from './rig';
+import type { Rig } from './rig';
+
+/** Arrivals of one kind of statement. */
+interface Stream {
+  readonly database: string;
+  readonly perSecond: number;
+  readonly statement: CallerStatement;
+}
+
+interface Tally {
+  asked: number;
+  inAim: number;
+  late: number;
+  refused: number;
+  /** Slowest refusal. */
+  refusedMs: number;
+}
+
+const READ: CallerStatement = { kind: 'read', text: 'READ 1' };
+const WRITE: CallerStatement = { kind: 'write', text: 'WRITE 1 x' };
+
+/** Plays random arrivals, each with a session of its own, and counts how they end. */
+function replay(rig: Rig, streams: readonly Stream[], ms: number): Record<string, Tally> {
+  const random = createRandom(11);
+  const asked = new Map<string, { database: string; at: number }>();
+  let next = rig.now();
+  const end = next + ms;
+  const total = streams.reduce((sum, stream) => sum + stream.perSecond, 0);
+  while (rig.now() < end) {
+    rig.run(1);
+    while (next <= rig.now()) {
+      next += (-Math.log(1 - random()) * 1_000) / total;
+      let pick = random() * total;
+      const stream = streams.find((one) => (pick -= one.perSecond) < 0) ?? streams[0];
+      if (!stream) break;
+      const session = openSession(rig, `load-${asked.size}`, stream.database);
+      const id = rig.ask(session, stream.statement);
+      asked.set(id, { database: stream.database, at: rig.now() });
+    }
+  }
+  rig.run(1_500);
+  return tally(rig, asked);
+}
+
+function tally(
+  rig: Rig,
+  asked: ReadonlyMap<string, { database: string; at: number }>,
+): Record<string, Tally> {
+  const tallies: Record<string, Tally> = {};
+  const answers = new Map(rig.got.map((got) => [got.request, got]));
+  for (const [id, { database, at }] of asked) {
+    const own = (tallies[database] ??= { asked: 0, inAim: 0, late: 0, refused: 0, refusedMs: 0 });
+    const got = answers.get(id);
+    const aimMs = ROUTES.find((route) => route.database === database)?.aimMs ?? 0;
+    own.asked += 1;
+    if (got?.answer.kind === 'done') {
+      if (got.at - at <= aimMs) own.inAim += 1;
+      else own.late += 1;
+    } else {
+      own.refused += 1;
+      own.refusedMs = Math.max(own.refusedMs, (got?.at ?? Infinity) - at);
+    }
+  }
+  return tallies;
+}
+
+function share(part: number, tally: Tally | undefined): number {
+  return part / (tally?.asked ?? 1);
+}
+
+/** A rig with samples, so that replicas serve reads. */
+function warmRig(settings = {}): Rig {
+  const rig = createRig(settings);
+  rig.run(200);
+  openSession(rig, 'warm', 'loops');
+  rig.ask('warm', READ);
+  rig.run(2_000);
+  return rig;
+}
+
+test('one of three targets turns five times slower: reads keep their objective', () => {
+  const rig = warmRig();
+  if (rig.targets[1]) rig.targets[1].runMs = 100;
+  const tallies = replay(rig, [{ database: 'beats', perSecond: 150, statement: READ }], 5_000);
+  assert.ok(share(tallies.beats?.inAim ?? 0, tallies.beats) > 0.97);
+});
+
+test('three times the capacity: the first class keeps its objective', () => {
+  const rig = warmRig();
+  const streams = [
+    { database: 'bookings', perSecond: 30, statement: WRITE },
+    { database: 'beats', perSecond: 1_300, statement: READ },
+  ];
+  const { bookings, beats } = replay(rig, streams, 4_000);
+  assert.ok(share(bookings?.inAim ?? 0, bookings) > 0.95, JSON.stringify({ bookings, beats }));
+});
+
+test('three times the capacity: most of it still serves callers in time', () => {
+  const rig = warmRig();
+  const { beats } = replay(rig, [{ database: 'beats', perSecond: 1_300, statement: READ }], 4_000);
+  // Nine slots of 20 ms serve 450 a second.
+  assert.ok((beats?.inAim ?? 0) > 0.8 * 450 * 4, JSON.stringify(beats));
+});
+
+test('what is refused under overload is refused within its share of the objective', () => {
+  const rig = warmRig();
+  const { beats } = replay(rig, [{ database: 'beats', perSecond: 1_300, statement: READ }], 4_000);
+  assert.ok((beats?.refused ?? 0) > 0);
+  assert.ok((beats?.refusedMs ?? 0) <= 0.75 * 400 + 25, JSON.stringify(beats));
+});
+
+test('all replicas fall behind: costly reads give way at the primary, cheap urgent work does not', () => {
+  const rig = warmRig();
+  for (const target of rig.targets.slice(1)) {
+    const { applied } = target;
+    Object.defineProperty(target, 'applied', { get: () => applied, set: () => undefined });
+  }
+  const streams = [
+    { database: 'bookings', perSecond: 30, statement: WRITE },
+    { database: 'beats', perSecond: 100, statement: READ },
+    { database: 'loops', perSecond: 100, statement: READ },
+  ];
+  replay(rig, streams, 2_000);
+  const before = rig.got.length;
+  const { bookings } = replay(rig, streams, 4_000);
+  assert.ok(rig.got.length > before);
+  assert.ok(share(bookings?.inAim ?? 0, bookings) > 0.95, JSON.stringify(bookings));
+});
+
+test('replicas that are behind are asked seldom, not by every read', () => {
+  const rig = warmRig();
+  for (const target of rig.targets.slice(1)) {
+    const { applied } = target;
+    Object.defineProperty(target, 'applied', { get: () => applied, set: () => undefined });
+  }
+  const streams = [
+    { database: 'bookings', perSecond: 20, statement: WRITE },
+    { database: 'loops', perSecond: 60, statement: READ },
+  ];
+  replay(rig, streams, 3_000);
+  const count = (): number => rig.events.filter((event) => event.type === 'request_retried').length;
+  const before = count();
+  replay(rig, streams, 4_000);
+  // Two replicas, each asked again after 150 ms, by the few reads that arrive at that moment.
+  assert.ok(count() - before < 2 * 2 * (5_500 / 150), `${count() - before} retries`);
+});
+
+test('a target at its connection limit is not stormed', () => {
+  const rig = createRig({}, 1);
+  rig.run(300);
+  const streams = [{ database: 'beats', perSecond: 200, statement: READ }];
+  replay(rig, streams, 2_000);
+  const full = rig.events.filter((event) => event.type === 'target_full').length;
+  assert.ok(full < 3 * (3_500 / 250), `${full} refusals`);
+});
+
+test('after a gap without a primary the backlog of all classes is served again at once', () => {
+  const rig = warmRig();
+  const [old, next] = rig.targets;
+  if (!old || !next) throw new Error('no targets');
+  old.silent = true;
+  old.refusing = true;
+  rig.reset(old);
+  const streams = [
+    { database: 'bookings', perSecond: 40, statement: WRITE },
+    { database: 'beats', perSecond: 120, statement: READ },
+  ];
+  replay(rig, streams, 1_000);
+  rig.engine.promotionEnded('g', 'ordered');
+  rig.promote(next);
+  rig.run(200);
+  const { bookings, beats } = replay(rig, streams, 3_000);
+  assert.ok(share(bookings?.inAim ?? 0, bookings) > 0.97, JSON.stringify(bookings));
+  assert.ok(share(beats?.inAim ?? 0, beats) > 0.97, JSON.stringify(beats));
+});
+
+test.run();
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -25,6 +25,24 @@
   return now - leavingSince < settings.targetDrainMs * settings.leavingShare;
 }
 
+/** Statements of this daemon that a target is working on; transactions at rest do not count. */
+export function ownInFlight(target: TargetRow): number {
+  let count = 0;
+  for (const row of target.connections) if (row.pending.length > 0) count += 1;
+  return count;
+}
+
+/**
+ * Whether a target takes one more statement. Answers more arrivals than slots: what waits here can
+ * still be ordered, refused or sent elsewhere, what waits at the target cannot.
+ */
+function hasRoom(world: World, target: TargetRow): boolean {
+  const own = ownInFlight(target);
+  if (own === 0) return true;
+  const total = own + othersInFlight(world, target.entry.id);
+  return total < target.entry.slots * world.settings.inFlightPerSlot;
+}
+
 /** Sends queued requests of a group to targets, in the order of the queue. */
 export function runDispatch(world: World, hooks: ExecutionHooks, group: GroupRow): void {
   const now = world.clock.now();
@@ -74,6 +92,7 @@
 ): TargetRow | undefined {
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   if (!primary || !isUsable(world, primary, now)) return undefined;
+  if (!hasRoom(world, primary)) return undefined;
   if (primary.idle.length > 0) return primary;
   wanted.set(primary, (wanted.get(primary) ?? 0) + 1);
   return undefined;
@@ -87,7 +106,9 @@
   wanted: Map<TargetRow, number>,
   now: Millis,
 ): TargetRow | undefined {
-  const eligible = findEligible(world, group, row, after, now);
+  const eligible = findEligible(world, group, row, after, now).filter((target) =>
+    hasRoom(world, target),
+  );
   const candidates = eligible.map((target) => describeTarget(world, target, now));
   const choice = chooseReadTarget(candidates, world.settings.remoteFactor, world.random);
   if (choice) return group.targets.get(choice.id);
@@ -148,7 +169,7 @@
     isPrimary: entry.id === group.primary,
     sameDomain: entry.failureDomain === world.self.failureDomain,
     slots: entry.slots,
-    ownInFlight: target.connections.size - target.idle.length,
+    ownInFlight: ownInFlight(target),
     otherInFlight: othersInFlight(world, entry.id),
     slowness: slownessAt(target.rating, now, world.settings.slownessFadeMs),
     idle: target.idle.length,
@@ -164,14 +185,19 @@
   }
 }
 
+function hasFreeSlot(world: World, target: TargetRow): boolean {
+  return ownInFlight(target) + othersInFlight(world, target.entry.id) < target.entry.slots;
+}
+
 /** Sends a slow read to a second target. Answers lost answers and targets that turn slow. */
 export function hedgeRead(world: World, hooks: ExecutionHooks, row: RequestRow): boolean {
   const now = world.clock.now();
   const { group } = row;
+  if (group.queue.length > 0) return false;
   const after = resolvePosition(world, row);
   if (row.needsPrimary) return false;
   const eligible = findEligible(world, group, row, after, now).filter(
-    (target) => !row.tried.has(target.entry.id),
+    (target) => !row.tried.has(target.entry.id) && hasFreeSlot(world, target),
   );
   const candidates = eligible.map((target) => describeTarget(world, target, now));
   const choice = chooseReadTarget(candidates, world.settings.remoteFactor, world.random);
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -18,7 +18,7 @@
   openConnection,
   runConnectionUpkeep,
 } from './connections';
-import { hedgeRead, isUsable, resumeInTransaction, runDispatch } from './dispatch';
+import { hedgeRead, isUsable, ownInFlight, resumeInTransaction, runDispatch } from './dispatch';
 import { expireRunning } from './execution';
 import type { ExecutionHooks } from './execution';
 import { applyPromotionEnd, expectPrimary, runFailover } from './failover';
@@ -68,6 +68,7 @@
   tick: () => void;
   /** Starts to close sessions as they become idle. */
   drain: () => void;
+  /** True once no session is open and the platform sends no new ones. */
   isDrained: () => boolean;
   /** This daemon's report for the others. */
   report: (view: number) => PeerReport;
@@ -79,12 +80,6 @@
 /** Sessions closed per tick while draining, so that their callers do not return all at once. */
 const CLOSED_PER_TICK = 8;
 
-/** Time after the start of a drain in which the platform may still send new callers. */
-const DRAIN_HOLD_MS: Millis = 2_200;
-
-/** Time after the start of a drain that open transactions have to end. */
-const DRAIN_TRANSACTION_MS: Millis = 2_800;
-
 /** Creates an engine without configuration or targets. */
 export function createDirectEngine(options: EngineOptions): DirectEngine {
   const world = createWorld(options);
@@ -172,7 +167,10 @@
       world.drainingSince ??= clock.now();
       world.sides.log({ type: 'drain_started', sessions: world.sessions.size });
     },
-    isDrained: () => world.drainingSince !== undefined && world.sessions.size === 0,
+    isDrained: () => {
+      if (world.drainingSince === undefined || world.sessions.size > 0) return false;
+      return clock.now() - world.drainingSince >= drainHoldMs(world);
+    },
     report: (view) => createReport(world, view),
   };
 }
@@ -361,13 +359,14 @@
 
 /** Ends transactions whose callers have left them idle. */
 function reviewTransactions(world: World, now: Millis): void {
+  const { settings } = world;
   const idleMs = world.config?.transactionIdleMs;
   const drainMs = world.drainingSince === undefined ? 0 : now - world.drainingSince;
   for (const session of world.sessions.values()) {
     const { transaction } = session;
     if (!transaction || transaction.lost !== undefined || session.request) continue;
     const isIdle = idleMs !== undefined && now - transaction.lastUsedAt > idleMs;
-    if (!isIdle && drainMs < DRAIN_TRANSACTION_MS) continue;
+    if (!isIdle && drainMs < settings.graceMs * settings.drainTransactionShare) continue;
     transaction.lost = isIdle ? 'the transaction was idle for too long' : 'the daemon shuts down';
     endAtTarget(world, transaction);
     world.sides.log({
@@ -379,8 +378,14 @@
   }
 }
 
+/** A short grace period leaves less time for callers that are still being sent. */
+function drainHoldMs(world: World): Millis {
+  const { drainHoldMs: holdMs, graceMs, drainTransactionShare } = world.settings;
+  return Math.min(holdMs, graceMs * drainTransactionShare);
+}
+
 function closeIdleSessions(world: World, now: Millis): void {
-  if (now - (world.drainingSince ?? now) < DRAIN_HOLD_MS) return;
+  if (now - (world.drainingSince ?? now) < drainHoldMs(world)) return;
   let closed = 0;
   for (const session of world.sessions.values()) {
     if (session.state !== 'idle' || session.request) continue;
@@ -405,7 +410,7 @@
   const loads: [TargetId, number, number][] = [];
   for (const target of world.targets.values()) {
     const { size } = target.connections;
-    if (size > 0) loads.push([target.entry.id, size, size - target.idle.length]);
+    if (size > 0) loads.push([target.entry.id, size, ownInFlight(target)]);
   }
   return {
     name: world.self.name,
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -4,11 +4,12 @@
 import type { Route } from './configuration';
 import { isUsable } from './dispatch';
 import { finishAs } from './execution';
+import { othersInFlight } from './fleet';
 import type { ExecutionHooks } from './execution';
 import { allowedConnections } from './connections';
 import type { Access } from './statements';
 import { expectedPrimaryWaitMs } from './primaryWait';
-import type { GroupRow, RequestRow, SessionRow, TransactionRow, World } from './tables';
+import type { GroupRow, RequestRow, SessionRow, TargetRow, TransactionRow, World } from './tables';
 
 /** What a caller's statement asks of a target. */
 export interface RequestSpec {
@@ -97,9 +98,9 @@
     if (lane === 'primary' && target.entry.id !== group.primary) continue;
     if (!isUsable(world, target, now)) continue;
     const canOpen = now >= target.openBlockedUntil;
-    connections += canOpen
-      ? Math.max(target.connections.size, allowedConnections(world, target))
-      : target.connections.size;
+    const held = target.connections.size;
+    const usable = canOpen ? Math.max(held, allowedConnections(world, target)) : held;
+    connections += Math.min(usable, roomAt(world, target));
   }
   return {
     ahead,
@@ -111,6 +112,12 @@
   };
 }
 
+/** Statements of this daemon that a target may work on at a time. */
+function roomAt(world: World, target: TargetRow): number {
+  const total = target.entry.slots * world.settings.inFlightPerSlot;
+  return Math.max(1, total - othersInFlight(world, target.entry.id));
+}
+
 /** Refuses a queued request at once, with a time to come back. */
 export function refuseRequest(
   world: World,
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -48,8 +48,16 @@
   readonly targetDrainMs: Millis;
   /** Time that a target missing from the list stays usable while it answers. */
   readonly missingMs: Millis;
+  /** Time from the order to stop until the process is ended, from the platform's settings. */
+  readonly graceMs: Millis;
+  /** Time after the order to stop in which the platform may still send callers: two of its checks. */
+  readonly drainHoldMs: Millis;
+  /** Share of the grace period that open transactions have to end. */
+  readonly drainTransactionShare: number;
   /** Share of the latency objective that a request may wait for a connection. */
   readonly queueShare: number;
+  /** Statements that a target gets at a time for each of its slots, from all daemons together. */
+  readonly inFlightPerSlot: number;
   /** Least time after which a read is sent to a second target. */
   readonly hedgeMinMs: Millis;
   /** A read is sent to a second target after this multiple of its usual time. */
@@ -64,7 +72,7 @@
   readonly maxTries: number;
 }
 
-/** Defaults; the platform's own bounds replace `targetDrainMs`. */
+/** Defaults; the platform's own bounds replace `targetDrainMs` and `graceMs`. */
 export const DEFAULT_DIRECT_SETTINGS: DirectSettings = {
   tickMs: 25,
   setupTimeoutMs: 300,
@@ -89,7 +97,11 @@
   leavingShare: 0.5,
   targetDrainMs: 5_000,
   missingMs: 3_000,
+  graceMs: 6_000,
+  drainHoldMs: 2_200,
+  drainTransactionShare: 0.47,
   queueShare: 0.75,
+  inFlightPerSlot: 2.5,
   hedgeMinMs: 120,
   hedgeFactor: 4,
   remoteFactor: 1.15,
