--- a/packages/direct/__tests__/decisions.spec.ts
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -15,6 +15,7 @@
   promotionTurn,
   queueKey,
   retryAfterMs,
+  roomAt,
   slownessAt,
 } from '../src/index';
 import type { PlacementCandidate, PrimaryView, Prospects, SampleHistory } from '../src/index';
@@ -65,6 +66,18 @@
   assert.equal(draw([target('p', { isPrimary: true, idle: 2 })]), { p: 200 });
 });
 
+test('a target takes a few statements per slot, from all daemons together', () => {
+  const inputs = { own: 1, others: 2, total: 4.5, sinceDoneMs: 100, usualMs: 24 };
+  assert.equal(roomAt(inputs), { kind: 'free' });
+  assert.equal(roomAt({ ...inputs, others: 4 }), { kind: 'full' });
+});
+
+test('a daemon whose share is below one statement pauses between them', () => {
+  const inputs = { own: 0, others: 8, total: 4.5, sinceDoneMs: 4, usualMs: 24 };
+  assert.equal(roomAt(inputs), { kind: 'pause', forMs: 20 });
+  assert.equal(roomAt({ ...inputs, sinceDoneMs: 24 }), { kind: 'free' });
+});
+
 test('the rating of a slow target rises with its answers and fades without them', () => {
   const rating = { slowness: 1, at: 0 };
   for (let at = 0; at < 20; at += 1) noteResponse(rating, 5, at * 10, 3_000);
@@ -156,6 +169,8 @@
   gone: false,
   suspected: true,
   troubledMs: 1_000,
+  strandedMs: 0,
+  hasPeers: true,
   suspecting: 0,
   trusting: 0,
 };
@@ -163,9 +178,15 @@
 test('a primary is replaced when most daemons cannot reach it', () => {
   assert.is(findPromotionReason({ ...view, suspecting: 4, trusting: 3 }), 'unreachable');
   assert.is(findPromotionReason({ ...view, suspecting: 2, trusting: 5 }), undefined);
+  assert.is(findPromotionReason(view), undefined);
+  assert.is(findPromotionReason({ ...view, hasPeers: false }), 'unreachable');
+  assert.is(findPromotionReason({ ...view, troubledMs: 5_000 }), 'unreachable');
   assert.is(findPromotionReason({ ...view, suspected: false, suspecting: 7 }), undefined);
   assert.is(findPromotionReason({ ...view, gone: true, trusting: 3 }), 'gone');
   assert.is(findPromotionReason({ ...view, suspected: false, leaving: true }), 'leaving');
+  const stranded = { ...view, suspected: false, strandedMs: 1_500 };
+  assert.is(findPromotionReason(stranded), 'replicas_behind');
+  assert.is(findPromotionReason({ ...stranded, strandedMs: 500 }), undefined);
   assert.is(findPromotionReason({ ...view, known: false, troubledMs: 300 }), undefined);
   assert.is(findPromotionReason({ ...view, known: false, troubledMs: 2_000 }), 'nobody_leads');
 });
--- a/packages/direct/__tests__/load.spec.ts
+++ b/packages/direct/__tests__/load.spec.ts
@@ -149,6 +149,35 @@
   assert.ok(count() - before < 2 * 2 * (5_500 / 150), `${count() - before} retries`);
 });
 
+test('the lead moves to a replica that receives but applies late, when reads crowd the primary', () => {
+  const rig = warmRig();
+  for (const target of rig.targets.slice(1)) {
+    const { applied } = target;
+    Object.defineProperty(target, 'applied', { get: () => applied, set: () => undefined });
+  }
+  const streams = [
+    { database: 'bookings', perSecond: 30, statement: WRITE },
+    { database: 'beats', perSecond: 250, statement: READ },
+  ];
+  replay(rig, streams, 6_000);
+  assert.is(rig.promotions.length > 0, true);
+});
+
+test('the lead stays where it is when the replicas receive nothing', () => {
+  const rig = warmRig();
+  for (const target of rig.targets.slice(1)) {
+    const { applied } = target;
+    for (const field of ['applied', 'received'])
+      Object.defineProperty(target, field, { get: () => applied, set: () => undefined });
+  }
+  const streams = [
+    { database: 'bookings', perSecond: 30, statement: WRITE },
+    { database: 'beats', perSecond: 250, statement: READ },
+  ];
+  replay(rig, streams, 6_000);
+  assert.is(rig.promotions.length, 0);
+});
+
 test('a target at its connection limit is not stormed', () => {
   const rig = createRig({}, 1);
   rig.run(300);
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -206,6 +206,11 @@
       },
       closeSession: (session) => closedSessions.push(session),
       promote: (group, target) => promotions.push({ group, target }),
+      wakeAfter: (ms) => {
+        later(ms, () => {
+          engine.wake();
+        });
+      },
       log: (event) => events.push(event),
     },
   });
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -3,8 +3,8 @@
 import { executeInTransaction, executeRequest } from './execution';
 import type { ExecutionHooks } from './execution';
 import { othersInFlight } from './fleet';
-import { chooseReadTarget, slownessAt } from './placement';
-import type { PlacementCandidate } from './placement';
+import { chooseReadTarget, roomAt, slownessAt } from './placement';
+import type { PlacementCandidate, Room } from './placement';
 import { findSample, laterOf } from './samples';
 import { covers } from '@rosedeck/shared';
 import type { GroupRow, RequestRow, TargetRow, World } from './tables';
@@ -32,15 +32,22 @@
   return count;
 }
 
-/**
- * Whether a target takes one more statement. Answers more arrivals than slots: what waits here can
- * still be ordered, refused or sent elsewhere, what waits at the target cannot.
- */
-function hasRoom(world: World, target: TargetRow): boolean {
-  const own = ownInFlight(target);
-  if (own === 0) return true;
-  const total = own + othersInFlight(world, target.entry.id);
-  return total < target.entry.slots * world.settings.inFlightPerSlot;
+/** Whether a target takes one more statement; else when to look again. */
+function findRoom(world: World, target: TargetRow, now: Millis): Room {
+  const total = target.entry.slots * world.settings.inFlightPerSlot;
+  return roomAt({
+    own: ownInFlight(target),
+    others: othersInFlight(world, target.entry.id),
+    total,
+    sinceDoneMs: now - target.doneAt,
+    usualMs: target.group.runMs.read.value,
+  });
+}
+
+function hasRoom(world: World, target: TargetRow, now: Millis): boolean {
+  const room = findRoom(world, target, now);
+  if (room.kind === 'pause') world.sides.wakeAfter(room.forMs);
+  return room.kind === 'free';
 }
 
 /** Sends queued requests of a group to targets, in the order of the queue. */
@@ -92,7 +99,7 @@
 ): TargetRow | undefined {
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   if (!primary || !isUsable(world, primary, now)) return undefined;
-  if (!hasRoom(world, primary)) return undefined;
+  if (!hasRoom(world, primary, now)) return undefined;
   if (primary.idle.length > 0) return primary;
   wanted.set(primary, (wanted.get(primary) ?? 0) + 1);
   return undefined;
@@ -107,7 +114,7 @@
   now: Millis,
 ): TargetRow | undefined {
   const eligible = findEligible(world, group, row, after, now).filter((target) =>
-    hasRoom(world, target),
+    hasRoom(world, target, now),
   );
   const candidates = eligible.map((target) => describeTarget(world, target, now));
   const choice = chooseReadTarget(candidates, world.settings.remoteFactor, world.random);
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -66,6 +66,8 @@
   /** The process was suspended or the time of day was set: what was known may be old. */
   timeJumped: (byMs: Millis) => void;
   tick: () => void;
+  /** Looks at what waits; the answer to `wakeAfter`. */
+  wake: () => void;
   /** Starts to close sessions as they become idle. */
   drain: () => void;
   /** True once no session is open and the platform sends no new ones. */
@@ -163,6 +165,10 @@
       runTick(world, hooks);
       settle();
     },
+    wake: () => {
+      for (const group of world.groups.values()) if (group.queue.length > 0) world.woken.add(group);
+      settle();
+    },
     drain: () => {
       world.drainingSince ??= clock.now();
       world.sides.log({ type: 'drain_started', sessions: world.sessions.size });
@@ -220,6 +226,8 @@
     samples: [],
     queue: [],
     lastRequestAt: world.clock.now(),
+    demandAt: -Infinity,
+    rotatedAt: -Infinity,
     runMs: { read: { value: FIRST_GUESS.readMs }, write: { value: FIRST_GUESS.writeMs } },
     holdMs: {
       primary: { value: FIRST_GUESS.holdPrimaryMs },
@@ -276,6 +284,8 @@
     lastReplyAt: now,
     notLeadingAt: -Infinity,
     rating: { slowness: 1, at: now },
+    doneAt: -Infinity,
+    load: 0,
     probedAt: -Infinity,
     rejectedAt: -Infinity,
   };
@@ -313,7 +323,9 @@
   expirePeers(world, now);
   for (const group of world.groups.values()) {
     runFailover(world, group, now);
-    if (group.queue.length > 0) world.woken.add(group);
+    if (group.queue.length === 0) continue;
+    group.demandAt = now;
+    world.woken.add(group);
   }
   for (const target of [...world.targets.values()]) reviewTarget(world, target, now);
   reviewTransactions(world, now);
@@ -338,9 +350,13 @@
     hedgeRead(world, hooks, row);
 }
 
+/** Weight of one tick in a target's smoothed load: some hundred milliseconds count. */
+const LOAD_WEIGHT = 0.2;
+
 /** Keeps a connection to each target, and lets go of targets that are gone. */
 function reviewTarget(world: World, target: TargetRow, now: Millis): void {
   const { settings } = world;
+  target.load += LOAD_WEIGHT * (ownInFlight(target) - target.load);
   const isGone =
     target.missingSince !== undefined && now - target.missingSince > settings.missingMs;
   if (isGone) {
@@ -410,7 +426,7 @@
   const loads: [TargetId, number, number][] = [];
   for (const target of world.targets.values()) {
     const { size } = target.connections;
-    if (size > 0) loads.push([target.entry.id, size, ownInFlight(target)]);
+    if (size > 0) loads.push([target.entry.id, size, Math.round(target.load * 10) / 10]);
   }
   return {
     name: world.self.name,
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -236,6 +236,7 @@
   const now = world.clock.now();
   row.running.delete(connection);
   noteReply(target, reply, now);
+  target.doneAt = now;
   if (reply.kind === 'failed') {
     handleRefusal(world, hooks, row, connection, reply, sent, isWrapped);
     return;
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -23,6 +23,10 @@
   readonly suspected: boolean;
   /** Time without a primary that proves its lead. */
   readonly troubledMs: Millis;
+  /** Time that the primary has been alone with more reads than it can serve. */
+  readonly strandedMs: Millis;
+  /** The directory shows other daemons. */
+  readonly hasPeers: boolean;
   /** Other daemons that cannot reach it, and that can. */
   readonly suspecting: number;
   readonly trusting: number;
@@ -31,6 +35,18 @@
 /** A group in which nobody leads is given this long to settle by itself. */
 const NOBODY_LEADS_MS: Millis = 1_200;
 
+/** A daemon that hears nothing of the others may be the one that is cut off; it waits this long. */
+const ALONE_MS: Millis = 4_000;
+
+/** Replicas that fall behind for less than this catch up by themselves. */
+const STRANDED_MS: Millis = 1_000;
+
+/** Time after a change of primary in which lagging replicas cause no other. */
+const ROTATION_PAUSE_MS: Millis = 8_000;
+
+/** Time for which a refusal or a queue shows that the primary alone is not enough. */
+const DEMAND_MS: Millis = 500;
+
 /** Time that a rejected candidate is passed over. */
 const REJECTED_MS: Millis = 2_000;
 
@@ -43,12 +59,16 @@
 /**
  * Whether the group needs another primary, and why. Answers a primary that is lost, leaves, or is
  * cut off from most daemons; a cut from a few is left alone, since their callers can go elsewhere.
+ * Also answers replicas that apply what they receive too late for any read: one that leads has
+ * applied all of it, and the old primary serves reads beside it.
  */
 export function findPromotionReason(view: PrimaryView): PromotionReason | undefined {
   if (view.known && view.leaving) return 'leaving';
   if (!view.known) return view.troubledMs > NOBODY_LEADS_MS ? 'nobody_leads' : undefined;
-  if (!view.suspected) return undefined;
+  if (!view.suspected) return view.strandedMs > STRANDED_MS ? 'replicas_behind' : undefined;
   if (view.gone) return 'gone';
+  const isAlone = view.hasPeers && view.suspecting + view.trusting === 0;
+  if (isAlone && view.troubledMs < ALONE_MS) return undefined;
   return view.suspecting + 1 > view.trusting ? 'unreachable' : undefined;
 }
 
@@ -211,6 +231,8 @@
     gone: primary?.missingSince !== undefined,
     suspected: group.suspected !== undefined,
     troubledMs: group.troubledSince === undefined ? 0 : now - group.troubledSince,
+    strandedMs: trackStranded(world, group, now),
+    hasPeers: world.fleet.listed > 1,
     ...opinions,
   });
   if (reason === undefined) {
@@ -226,6 +248,37 @@
   for (const target of group.targets.values()) survey(world, target, now);
 }
 
+/** Time since when all replicas have been too far behind for any read, while reads wait. */
+function trackStranded(world: World, group: GroupRow, now: Millis): Millis {
+  const isWanted = now - group.demandAt < DEMAND_MS && now - group.rotatedAt > ROTATION_PAUSE_MS;
+  if (!isWanted || !areReplicasBehind(world, group, now)) group.strandedSince = undefined;
+  else group.strandedSince ??= now;
+  return group.strandedSince === undefined ? 0 : now - group.strandedSince;
+}
+
+function areReplicasBehind(world: World, group: GroupRow, now: Millis): boolean {
+  const allowedMs = longestStaleness(world, group);
+  if (allowedMs === undefined) return false;
+  const replicas = [...group.targets.values()].filter(
+    (target) =>
+      target.entry.id !== group.primary &&
+      target.leavingSince === undefined &&
+      target.failingSince === undefined &&
+      isUsable(world, target, now),
+  );
+  return replicas.length > 0 && replicas.every((target) => (target.lag?.ms ?? 0) > allowedMs);
+}
+
+/** The greatest age of data that a route of the group accepts; undefined when none is limited. */
+function longestStaleness(world: World, group: GroupRow): Millis | undefined {
+  let longest: Millis | undefined;
+  for (const route of world.config?.routes.values() ?? []) {
+    if (route.group !== group.id || route.maxStalenessMs === undefined) continue;
+    longest = Math.max(longest ?? 0, route.maxStalenessMs);
+  }
+  return longest;
+}
+
 /** Asks a target for its status. */
 function survey(world: World, target: TargetRow, now: Millis): void {
   if (target.entry.id === target.group.primary) return;
@@ -256,6 +309,12 @@
     group.promotion = undefined;
     return;
   }
+  const leader = findOtherLeader(group, promotion);
+  if (leader) {
+    group.promotion = undefined;
+    expectPrimary(world, group, leader.entry.id, now);
+    return;
+  }
   const candidates = [...group.targets.values()]
     .filter((target) => target.entry.id !== group.primary && isUsable(world, target, now))
     .filter((target) => now - target.rejectedAt > REJECTED_MS)
@@ -263,7 +322,7 @@
   const isComplete = candidates.every((one) => one.answered || one.failing);
   if (!isComplete && now - promotion.startedAt < settings.surveyMs) return;
   const choice = chooseCandidate(candidates);
-  if (!choice || (promotion.reason === 'leaving' && isDeaf(world, group, choice, now))) {
+  if (!choice || isTooFarBehind(world, group, promotion.reason, choice, now)) {
     group.promotion = undefined;
     group.pausedUntil = now + UNAVAILABLE_PAUSE_MS;
     return;
@@ -281,6 +340,14 @@
   world.sides.promote(group.id, choice.id);
 }
 
+/** A target that says that it leads already; this daemon has missed a promotion. */
+function findOtherLeader(group: GroupRow, promotion: Promotion): TargetRow | undefined {
+  return [...group.targets.values()].find(({ entry, status }) => {
+    if (!status || entry.id === group.primary || status.at < promotion.startedAt) return false;
+    return status.report.role === 'primary' && status.report.term > group.term;
+  });
+}
+
 function describeCandidate(target: TargetRow, promotion: Promotion): PromotionCandidate {
   const { status } = target;
   const answered = status !== undefined && status.at >= promotion.startedAt;
@@ -294,11 +361,23 @@
 }
 
 /** A working primary is not replaced by a replica that receives nothing, while there is time. */
-function isDeaf(world: World, group: GroupRow, choice: PromotionCandidate, now: Millis): boolean {
+function isTooFarBehind(
+  world: World,
+  group: GroupRow,
+  reason: PromotionReason,
+  choice: PromotionCandidate,
+  now: Millis,
+): boolean {
+  if (reason === 'replicas_behind') return isDeaf(group, choice, now);
+  if (reason !== 'leaving') return false;
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   const { settings } = world;
   const leavingMs = now - (primary?.leavingSince ?? now);
   if (leavingMs > (settings.targetDrainMs * settings.leavingShare) / 2) return false;
+  return isDeaf(group, choice, now);
+}
+
+function isDeaf(group: GroupRow, choice: PromotionCandidate, now: Millis): boolean {
   const old = group.samples.findLast((sample) => now - sample.sentAt > DEAF_MS);
   if (!old) return false;
   return !choice.received || positionOrd.compare(choice.received, old.position) < 0;
@@ -335,6 +414,7 @@
   if (group.expected?.target === target || !group.targets.has(target)) return;
   if (group.primary === target && group.primaryProvenAt !== undefined) return;
   group.expected = { target, since: now };
+  group.rotatedAt = now;
   group.reasonSince = undefined;
   world.woken.add(group);
 }
--- a/packages/direct/src/placement.ts
+++ b/packages/direct/src/placement.ts
@@ -51,6 +51,37 @@
 /** Spread of the placement noise, as a share of the cost. */
 const NOISE = 0.15;
 
+/** What decides whether a target takes one more statement of this daemon. */
+export interface RoomInputs {
+  /** Statements of this daemon that the target is working on. */
+  readonly own: number;
+  /** Those of the other daemons. */
+  readonly others: number;
+  /** Statements that the target should have at a time. */
+  readonly total: number;
+  /** Time since the target last answered this daemon. */
+  readonly sinceDoneMs: Millis;
+  /** Usual time of a statement. */
+  readonly usualMs: Millis;
+}
+
+/** Whether there is room at a target, or when to look again. */
+export type Room =
+  { readonly kind: 'free' | 'full' } | { readonly kind: 'pause'; readonly forMs: Millis };
+
+/**
+ * Whether a target takes one more statement. Answers more arrivals than slots: what waits here can
+ * still be ordered, refused or sent elsewhere, what waits at the target cannot. Where a daemon's
+ * fair share is below one statement, it pauses between them instead.
+ */
+export function roomAt(inputs: RoomInputs): Room {
+  const { own, others, total, usualMs, sinceDoneMs } = inputs;
+  if (own + others < total) return { kind: 'free' };
+  if (own > 0) return { kind: 'full' };
+  const restMs = usualMs * ((others + 1) / total - 1) - sinceDoneMs;
+  return restMs > 0 ? { kind: 'pause', forMs: restMs } : { kind: 'free' };
+}
+
 /** Weight of the newest response time in a target's rating. */
 const RATING_WEIGHT = 0.15;
 
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -1,7 +1,8 @@
 import type { Millis, TargetId } from '@rosedeck/shared';
 
 /** Why a group needs another primary. */
-export type PromotionReason = 'unreachable' | 'leaving' | 'gone' | 'nobody_leads';
+export type PromotionReason =
+  'unreachable' | 'leaving' | 'gone' | 'nobody_leads' | 'replicas_behind';
 
 /** How a promotion order ended. */
 export type PromotionResult =
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -100,7 +100,7 @@
     const canOpen = now >= target.openBlockedUntil;
     const held = target.connections.size;
     const usable = canOpen ? Math.max(held, allowedConnections(world, target)) : held;
-    connections += Math.min(usable, roomAt(world, target));
+    connections += Math.min(usable, shareOfRoom(world, target));
   }
   return {
     ahead,
@@ -113,7 +113,7 @@
 }
 
 /** Statements of this daemon that a target may work on at a time. */
-function roomAt(world: World, target: TargetRow): number {
+function shareOfRoom(world: World, target: TargetRow): number {
   const total = target.entry.slots * world.settings.inFlightPerSlot;
   return Math.max(1, total - othersInFlight(world, target.entry.id));
 }
@@ -139,6 +139,7 @@
     primaryAgeMs:
       group.primaryProvenAt === undefined ? undefined : Math.round(now - group.primaryProvenAt),
   });
+  group.demandAt = now;
   dequeueRequest(row);
   const detail = row.lastProblem === '' ? 'the wait would be too long' : row.lastProblem;
   if (row.mayHaveRun && row.access === 'read') {
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -101,7 +101,7 @@
   drainHoldMs: 2_200,
   drainTransactionShare: 0.47,
   queueShare: 0.75,
-  inFlightPerSlot: 2.5,
+  inFlightPerSlot: 1.5,
   hedgeMinMs: 120,
   hedgeFactor: 4,
   remoteFactor: 1.15,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -46,6 +46,8 @@
   closeSession: (session: SessionId) => void;
   /** Claims the promotion of a target and orders it; ends in `promotionEnded`. */
   promote: (group: GroupId, target: TargetId) => void;
+  /** Asks for `wake` to be called after a time; earlier than asked is fine. */
+  wakeAfter: (ms: Millis) => void;
   log: (event: DirectEvent) => void;
 }
 
@@ -104,6 +106,10 @@
   notLeadingAt: Millis;
   status?: { readonly report: TargetStatus; readonly at: Millis };
   readonly rating: Rating;
+  /** When the target last answered a statement. */
+  doneAt: Millis;
+  /** Statements of this daemon in flight, smoothed over some ticks. */
+  load: number;
   /** Last probe for leadership. */
   probedAt: Millis;
   /** When the platform last rejected the target as a primary. */
@@ -128,6 +134,12 @@
   readonly samples: SampleHistory;
   readonly queue: RequestRow[];
   lastRequestAt: Millis;
+  /** When work last waited or was refused for lack of room. */
+  demandAt: Millis;
+  /** Since when the primary has been alone with more reads than it can serve. */
+  strandedSince?: Millis;
+  /** When a target was last chosen to lead. */
+  rotatedAt: Millis;
   /** Usual time that a statement takes at a target, by kind of access. */
   readonly runMs: Readonly<Record<Access, Mean>>;
   /** Usual time that a read or write of a route takes at a target, by route name. */
