--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -70,6 +70,12 @@
   readonly events: DirectEvent[];
   readonly promotions: { readonly group: string; readonly target: string }[];
   readonly closedSessions: string[];
+  /** Questions for samples to other daemons. */
+  readonly asked: {
+    readonly peer: string;
+    readonly groups: readonly string[];
+    readonly askedAt: number;
+  }[];
   now: () => number;
   /** Moves time on, with ticks and all that falls due. */
   run: (ms: number) => void;
@@ -121,6 +127,7 @@
   const events: DirectEvent[] = [];
   const promotions: { group: string; target: string }[] = [];
   const closedSessions: string[] = [];
+  const asked: { peer: string; groups: readonly string[]; askedAt: number }[] = [];
 
   const work = (id: ConnectionId, link: FakeConnection): void => {
     if (link.working) return;
@@ -206,6 +213,7 @@
       },
       closeSession: (session) => closedSessions.push(session),
       promote: (group, target) => promotions.push({ group, target }),
+      askSamples: (peer, groups, askedAt) => asked.push({ peer, groups, askedAt }),
       wakeAfter: (ms) => {
         later(ms, () => {
           engine.wake();
@@ -222,6 +230,7 @@
     events,
     promotions,
     closedSessions,
+    asked,
     now: clock.now,
     run: (ms) => {
       const end = clock.now() + ms;
--- /dev/null
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -0,0 +1,116 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { samplerOf } from '../src/index';
+import type { ListedDaemon, PeerReport } from '../src/index';
+import { createRig, openSession } from './rig';
+import type { Rig } from './rig';
+
+/** More daemons than a target has connections, in two failure domains. */
+const DAEMONS: readonly ListedDaemon[] = Array.from({ length: 40 }, (_, at) => ({
+  name: `d${at + 1}`,
+  failureDomain: at % 2 === 0 ? 'a' : 'b',
+}));
+
+function scarceRig(): Rig {
+  const rig = createRig();
+  rig.engine.applyDirectory(DAEMONS);
+  return rig;
+}
+
+test('each failure domain has one sampler of a group, the same for all of its daemons', () => {
+  const first = samplerOf(DAEMONS, 'g', 'a');
+  const second = samplerOf(DAEMONS, 'g', 'b');
+  assert.ok(first !== undefined && second !== undefined && first !== second);
+  assert.is(samplerOf(DAEMONS.toReversed(), 'g', 'a'), first);
+  const rest = DAEMONS.filter((daemon) => daemon.name !== first);
+  assert.is.not(samplerOf(rest, 'g', 'a'), first);
+  assert.is(samplerOf(DAEMONS, 'g', 'nowhere'), undefined);
+});
+
+test('samplers change with few of their groups when a daemon leaves', () => {
+  const groups = Array.from({ length: 200 }, (_, at) => `g${at}`);
+  const before = groups.map((group) => samplerOf(DAEMONS, group, 'a'));
+  const rest = DAEMONS.filter((daemon) => daemon.name !== before[0]);
+  const moved = groups.filter((group, at) => samplerOf(rest, group, 'a') !== before[at]);
+  assert.ok(moved.length < 30, `${moved.length} moved`);
+});
+
+test('where connections are scarce none is kept without work, and samples are asked for', () => {
+  const rig = scarceRig();
+  openSession(rig, 's', 'loops');
+  for (let at = 0; at < 6; at += 1) {
+    rig.ask('s', { kind: 'read', text: 'READ 1' });
+    rig.run(300);
+  }
+  assert.ok(rig.asked.length >= 2);
+  assert.is(rig.asked[0]?.peer, samplerOf(DAEMONS, 'g', 'a'));
+  rig.run(4_000);
+  assert.is(rig.engine.world.connections.size, 0);
+});
+
+test('a told sample serves reads, dated by when it was asked for', () => {
+  const rig = scarceRig();
+  openSession(rig, 's', 'loops');
+  const askedAt = rig.now();
+  rig.run(100);
+  const position = { term: 1, index: 100 };
+  rig.engine.samplesTold([{ group: 'g', primary: 't1', position, ageMs: 200 }], askedAt);
+  const sample = rig.engine.world.groups.get('g')?.samples.at(-1);
+  assert.is(sample?.sentAt, askedAt - 200);
+  const reads = Array.from({ length: 8 }, () => {
+    const id = rig.ask('s', { kind: 'read', text: 'READ 1' });
+    rig.run(80);
+    const answer = rig.answerOf(id)?.answer;
+    return answer?.kind === 'done' ? answer.rows[0]?.split('/')[0] : 'failed';
+  });
+  assert.ok(
+    reads.some((id) => id === 't2' || id === 't3'),
+    reads.join(' '),
+  );
+});
+
+test('an answer to a question from before a suspension is ignored', () => {
+  const rig = scarceRig();
+  const askedAt = rig.now();
+  rig.run(50);
+  rig.engine.timeJumped(4_000);
+  const position = { term: 1, index: 100 };
+  rig.engine.samplesTold([{ group: 'g', primary: 't1', position, ageMs: 10 }], askedAt);
+  assert.is(rig.engine.world.groups.get('g')?.samples.length, 0);
+});
+
+test('what is told of an older term is ignored', () => {
+  const rig = scarceRig();
+  const tell = (term: number, index: number): void => {
+    const told = { group: 'g', primary: 't1', position: { term, index }, ageMs: 0 };
+    rig.engine.samplesTold([told], rig.now());
+    rig.run(10);
+  };
+  tell(2, 90);
+  tell(1, 200);
+  assert.equal(rig.engine.world.groups.get('g')?.samples.at(-1)?.position, { term: 2, index: 90 });
+});
+
+test('connections that the others report leave less to borrow', () => {
+  const rig = createRig();
+  rig.run(100);
+  const report = (held: number): PeerReport => ({
+    name: 'd2',
+    config: 1,
+    view: 1,
+    opinions: [],
+    loads: [['t1', held, 0]],
+  });
+  rig.engine.applyPeer(report(17));
+  openSession(rig, 's', 'bookings');
+  for (let at = 0; at < 20; at += 1) {
+    openSession(rig, `w${at}`, 'bookings');
+    rig.ask(`w${at}`, { kind: 'begin', readOnly: false });
+    rig.ask(`w${at}`, { kind: 'write', text: 'WRITE 1 x' });
+  }
+  rig.run(150);
+  const share = rig.connectionsAt('t1');
+  assert.ok(share >= 1 && share <= 9, `${share} connections`);
+});
+
+test.run();
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -2,6 +2,7 @@
 import { currentShare } from './connectionShare';
 import type { ShareInputs } from './connectionShare';
 import { daemonCount, othersHold } from './fleet';
+import { isSampler, isScarce } from './sampling';
 import type { LossReason, TargetOp, TargetReply } from './statements';
 import type { ConnectionRow, ReplyHandler, TargetRow, World } from './tables';
 
@@ -56,7 +57,9 @@
 /** Takes in that a connection is ready. */
 export function noteOpened(world: World, row: ConnectionRow, now: Millis): void {
   if (row.state !== 'opening') return;
-  noteAnswering(world, row.target, now);
+  const { target } = row;
+  noteAnswering(world, target, now);
+  target.keepIdleMs = Math.min(KEEP_IDLE_MS.most, target.keepIdleMs * KEEP_GROWTH);
   row.lastReplyAt = now;
   makeIdle(world, row, now);
 }
@@ -162,6 +165,7 @@
   const { target } = row;
   if (reason === 'limit') {
     target.openBlockedUntil = now + world.settings.limitBackoffMs * (1 + world.random());
+    target.keepIdleMs = Math.max(KEEP_IDLE_MS.least, target.keepIdleMs / 2);
     noteAnswering(world, target, now);
     world.sides.log({
       type: 'target_full',
@@ -203,6 +207,26 @@
   target.lastFailure = undefined;
 }
 
+/**
+ * Whether an idle connection is let go. Answers more daemons than connections: how long each keeps
+ * one follows what the target has room for, halved when it refuses and growing while it does not.
+ */
+function isSurplus(world: World, row: ConnectionRow, now: Millis): boolean {
+  const { target } = row;
+  const idleMs = now - row.idleSince;
+  if (!isScarce(world, target.group))
+    return idleMs > world.settings.surplusIdleMs && target.connections.size > KEPT_CONNECTIONS;
+  const isSampling = target.group.primary === target.entry.id && isSampler(world, target.group);
+  if (isSampling && target.connections.size === 1) return false;
+  return idleMs > target.keepIdleMs;
+}
+
+/** Bounds of the time for which scarce connections are kept. */
+const KEEP_IDLE_MS = { least: 20, most: 2_000 } as const;
+
+/** Growth of that time with each connection that a target takes. */
+const KEEP_GROWTH = 1.05;
+
 /** Ends silent connections, and idle ones beyond the daemon's share. */
 export function runConnectionUpkeep(world: World, now: Millis): void {
   const { settings } = world;
@@ -218,8 +242,6 @@
         loseConnection(world, row, 'silent', now);
       continue;
     }
-    if (row.state === 'idle' && now - row.idleSince > settings.surplusIdleMs) {
-      if (row.target.connections.size > KEPT_CONNECTIONS) dropConnection(world, row);
-    }
+    if (row.state === 'idle' && isSurplus(world, row, now)) dropConnection(world, row);
   }
 }
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -23,8 +23,9 @@
 import type { ExecutionHooks } from './execution';
 import { applyPromotionEnd, expectPrimary, runFailover } from './failover';
 import type { PromotionResult } from './promotionTypes';
-import { createFleet, daemonCount, expirePeers, notePeer } from './fleet';
-import type { PeerReport } from './peerReport';
+import { createFleet, expirePeers, notePeer } from './fleet';
+import type { ListedDaemon, PeerReport, ToldSample } from './peerReport';
+import { applyTold, isSampler, isScarce, runSampling, tellSamples } from './sampling';
 import { enqueueRequest, shedHopeless } from './requests';
 import { applyStatement, closeSession, endAtTarget, finishRequest, openSession } from './sessions';
 import type { DirectSettings } from './settings';
@@ -49,8 +50,8 @@
   applyConfig: (config: DirectConfig, source: string) => void;
   /** Takes in the platform's list of targets, whole. */
   applyTargets: (list: readonly ListedTarget[], source: string) => void;
-  /** Takes in how many daemons the platform's directory shows, this one included. */
-  applyDirectory: (daemons: number) => void;
+  /** Takes in the daemons that the platform's directory shows, this one included. */
+  applyDirectory: (daemons: readonly ListedDaemon[]) => void;
   applyPeer: (report: PeerReport) => void;
   connectionOpened: (connection: ConnectionId) => void;
   connectionLost: (connection: ConnectionId, reason: LossReason) => void;
@@ -72,6 +73,10 @@
   drain: () => void;
   /** True once no session is open and the platform sends no new ones. */
   isDrained: () => boolean;
+  /** What this daemon tells another that asks for samples. */
+  tellSamples: (groups: readonly GroupId[]) => readonly ToldSample[];
+  /** Samples that were asked for at `askedAt`. */
+  samplesTold: (samples: readonly ToldSample[], askedAt: Millis) => void;
   /** This daemon's report for the others. */
   report: (view: number) => PeerReport;
 }
@@ -117,7 +122,7 @@
       settle();
     },
     applyDirectory: (daemons) => {
-      world.fleet.listed = Math.max(1, daemons);
+      world.fleet.listed = daemons;
     },
     applyPeer: (report) => {
       notePeer(world, report, clock.now());
@@ -177,6 +182,11 @@
       if (world.drainingSince === undefined || world.sessions.size > 0) return false;
       return clock.now() - world.drainingSince >= drainHoldMs(world);
     },
+    tellSamples: (groups) => tellSamples(world, groups),
+    samplesTold: (samples, askedAt) => {
+      applyTold(world, samples, askedAt);
+      settle();
+    },
     report: (view) => createReport(world, view),
   };
 }
@@ -197,6 +207,7 @@
     woken: new Set(),
     nextConnection: 1,
     epoch: 0,
+    jumpedAt: -Infinity,
     lastTickAt: options.clock.now(),
   };
 }
@@ -228,6 +239,7 @@
     lastRequestAt: world.clock.now(),
     demandAt: -Infinity,
     rotatedAt: -Infinity,
+    askedAt: -Infinity,
     runMs: { read: { value: FIRST_GUESS.readMs }, write: { value: FIRST_GUESS.writeMs } },
     holdMs: {
       primary: { value: FIRST_GUESS.holdPrimaryMs },
@@ -286,6 +298,7 @@
     rating: { slowness: 1, at: now },
     doneAt: -Infinity,
     load: 0,
+    keepIdleMs: world.settings.surplusIdleMs,
     probedAt: -Infinity,
     rejectedAt: -Infinity,
   };
@@ -304,6 +317,7 @@
 /** Proofs and samples are dated by a clock that may have stood still. */
 function forgetAges(world: World, byMs: Millis): void {
   world.epoch += 1;
+  world.jumpedAt = world.clock.now();
   for (const group of world.groups.values()) {
     group.samples.length = 0;
     group.primaryProvenAt = undefined;
@@ -321,6 +335,7 @@
   runConnectionUpkeep(world, now);
   for (const row of [...world.running]) reviewRunning(world, hooks, row, now);
   expirePeers(world, now);
+  runSampling(world, now);
   for (const group of world.groups.values()) {
     runFailover(world, group, now);
     if (group.queue.length === 0) continue;
@@ -365,10 +380,9 @@
     return;
   }
   if (target.connections.size > 0 || !isUsable(world, target, now)) return;
-  const limit = target.group.connectionLimit * settings.connectionPlanShare;
-  const isScarce = limit < daemonCount(world);
-  const isPrimary = target.group.primary === target.entry.id;
-  if (isScarce && !isPrimary) return;
+  const { group } = target;
+  const isPrimary = group.primary === target.entry.id;
+  if (isScarce(world, group) && !(isPrimary && isSampler(world, group))) return;
   if (now >= target.openBlockedUntil && mayOpen(world, target, now))
     openConnection(world, target, now);
 }
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -9,6 +9,7 @@
   openConnection,
 } from './connections';
 import { isUsable } from './dispatch';
+import { isSampler, isScarce, spreadHash } from './sampling';
 import { countOpinions } from './fleet';
 import { noteLead, noteNotLeading, reviewPrimary } from './leadership';
 import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
@@ -111,14 +112,6 @@
   return others.filter((name) => spreadHash(`${group}/${name}`) < own).length;
 }
 
-/** FNV-1a over UTF-16 units. */
-function spreadHash(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let at = 0; at < text.length; at += 1)
-    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
-  return hash >>> 0;
-}
-
 /** Keeps the belief about a group's primary current, and starts promotions. */
 export function runFailover(world: World, group: GroupRow, now: Millis): void {
   if (group.targets.size === 0) return;
@@ -172,6 +165,7 @@
   now: Millis,
 ): void {
   const { settings } = world;
+  if (isScarce(world, group) && !isSampler(world, group)) return;
   const provenAt = group.primaryProvenAt;
   const isSettled = primary !== undefined && provenAt !== undefined && !group.expected;
   if (isSettled) {
@@ -232,7 +226,7 @@
     suspected: group.suspected !== undefined,
     troubledMs: group.troubledSince === undefined ? 0 : now - group.troubledSince,
     strandedMs: trackStranded(world, group, now),
-    hasPeers: world.fleet.listed > 1,
+    hasPeers: world.fleet.listed.length > 1,
     ...opinions,
   });
   if (reason === undefined) {
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -4,7 +4,7 @@
 
 /** Creates a fleet without other daemons. */
 export function createFleet(): FleetRow {
-  return { peers: new Map(), listed: 1 };
+  return { peers: new Map(), listed: [] };
 }
 
 /** Takes in a report. */
@@ -29,7 +29,7 @@
 
 /** Daemons that share the targets' connections. */
 export function daemonCount(world: World): number {
-  return Math.max(world.fleet.listed, world.fleet.peers.size + 1);
+  return Math.max(1, world.fleet.listed.length, world.fleet.peers.size + 1);
 }
 
 /** Connections that the other daemons hold at a target; undefined while none has reported. */
@@ -49,7 +49,7 @@
   field: 'connections' | 'inFlight',
 ): number | undefined {
   const { peers } = world.fleet;
-  if (peers.size === 0) return world.fleet.listed > 1 ? undefined : 0;
+  if (peers.size === 0) return world.fleet.listed.length > 1 ? undefined : 0;
   let sum = 0;
   for (const peer of peers.values()) sum += peer.loads.get(target)?.[field] ?? 0;
   const others = daemonCount(world) - 1;
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -1,4 +1,11 @@
-import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
+import type {
+  FailureDomain,
+  GroupId,
+  InstanceId,
+  Millis,
+  Position,
+  TargetId,
+} from '@rosedeck/shared';
 
 /** A daemon's opinion of a group's primary. */
 export interface PrimaryOpinion {
@@ -27,9 +34,24 @@
   loads: ReadonlyMap<TargetId, { readonly connections: number; readonly inFlight: number }>;
 }
 
+/** A daemon in the platform's directory. */
+export interface ListedDaemon {
+  readonly name: InstanceId;
+  readonly failureDomain: FailureDomain;
+}
+
 /** What this daemon knows of the others. */
 export interface FleetRow {
   readonly peers: Map<InstanceId, PeerRow>;
   /** Daemons that the platform's directory shows, this one included. */
-  listed: number;
+  listed: readonly ListedDaemon[];
+}
+
+/** A position of a primary, as one daemon tells another. */
+export interface ToldSample {
+  readonly group: GroupId;
+  readonly primary: TargetId;
+  readonly position: Position;
+  /** Age of the sample when it was told. */
+  readonly ageMs: Millis;
 }
--- /dev/null
+++ b/packages/direct/src/sampling.ts
@@ -0,0 +1,96 @@
+import type { GroupId, InstanceId, Millis } from '@rosedeck/shared';
+import { daemonCount } from './fleet';
+import type { ListedDaemon, ToldSample } from './peerReport';
+import { addSample } from './samples';
+import type { GroupRow, World } from './tables';
+
+/** Time between questions for samples: with its own age, an answer stays well within a second. */
+const ASK_MS: Millis = 700;
+
+/** A group without requests for this long is not asked about. */
+const ASK_IDLE_MS: Millis = 3_000;
+
+/** True when the targets' connections do not suffice for one of each daemon. */
+export function isScarce(world: World, group: GroupRow): boolean {
+  return group.connectionLimit * world.settings.connectionPlanShare < daemonCount(world);
+}
+
+/**
+ * The daemon of a failure domain that samples a group's primary for the others. Answers more
+ * daemons than connections: each domain needs one connection for it, not one of each daemon.
+ */
+export function samplerOf(
+  daemons: readonly ListedDaemon[],
+  group: GroupId,
+  failureDomain: string,
+): InstanceId | undefined {
+  let best: InstanceId | undefined;
+  let bestHash = -1;
+  for (const daemon of daemons) {
+    if (daemon.failureDomain !== failureDomain) continue;
+    const hash = spreadHash(`${group}/${daemon.name}`);
+    if (hash <= bestHash) continue;
+    best = daemon.name;
+    bestHash = hash;
+  }
+  return best;
+}
+
+/** True when this daemon samples the group for its failure domain. */
+export function isSampler(world: World, group: GroupRow): boolean {
+  const { name, failureDomain } = world.self;
+  const sampler = samplerOf(world.fleet.listed, group.id, failureDomain);
+  return sampler === undefined || sampler === name;
+}
+
+/** Asks the samplers for what this daemon does not sample itself. */
+export function runSampling(world: World, now: Millis): void {
+  const questions = new Map<InstanceId, GroupId[]>();
+  for (const group of world.groups.values()) {
+    if (now - group.askedAt < ASK_MS || now - group.lastRequestAt > ASK_IDLE_MS) continue;
+    if (!isScarce(world, group)) continue;
+    const sampler = samplerOf(world.fleet.listed, group.id, world.self.failureDomain);
+    if (sampler === undefined || sampler === world.self.name) continue;
+    group.askedAt = now;
+    questions.set(sampler, [...(questions.get(sampler) ?? []), group.id]);
+  }
+  for (const [sampler, groups] of questions) world.sides.askSamples(sampler, groups, now);
+}
+
+/** What this daemon tells one that asks. */
+export function tellSamples(world: World, groups: readonly GroupId[]): ToldSample[] {
+  const now = world.clock.now();
+  return groups.flatMap((id) => {
+    const group = world.groups.get(id);
+    const sample = group?.samples.at(-1);
+    if (!group?.primary || !sample) return [];
+    const ageMs = now - sample.sentAt;
+    return [{ group: id, primary: group.primary, position: sample.position, ageMs }];
+  });
+}
+
+/**
+ * Takes in samples that were asked for at `askedAt`. The sampler cannot have answered before that
+ * time, so that a sample is dated no later than it was taken.
+ */
+export function applyTold(world: World, samples: readonly ToldSample[], askedAt: Millis): void {
+  if (askedAt <= world.jumpedAt) return;
+  for (const told of samples) {
+    const group = world.groups.get(told.group);
+    if (!group || told.position.term < group.term || told.ageMs < 0) continue;
+    addSample(group.samples, { position: told.position, sentAt: askedAt - told.ageMs });
+    if (told.position.term > group.term || group.primary === undefined) {
+      group.term = told.position.term;
+      if (group.targets.has(told.primary)) group.primary = told.primary;
+    }
+    world.woken.add(group);
+  }
+}
+
+/** FNV-1a over UTF-16 units. */
+export function spreadHash(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let at = 0; at < text.length; at += 1)
+    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+  return hash >>> 0;
+}
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -46,6 +46,8 @@
   closeSession: (session: SessionId) => void;
   /** Claims the promotion of a target and orders it; ends in `promotionEnded`. */
   promote: (group: GroupId, target: TargetId) => void;
+  /** Asks another daemon for samples; ends in `samplesTold`, or in nothing. */
+  askSamples: (peer: InstanceId, groups: readonly GroupId[], askedAt: Millis) => void;
   /** Asks for `wake` to be called after a time; earlier than asked is fine. */
   wakeAfter: (ms: Millis) => void;
   log: (event: DirectEvent) => void;
@@ -108,6 +110,8 @@
   readonly rating: Rating;
   /** When the target last answered a statement. */
   doneAt: Millis;
+  /** Time after which an idle connection is closed while connections are scarce. */
+  keepIdleMs: Millis;
   /** Statements of this daemon in flight, smoothed over some ticks. */
   load: number;
   /** Last probe for leadership. */
@@ -138,6 +142,8 @@
   demandAt: Millis;
   /** Since when the primary has been alone with more reads than it can serve. */
   strandedSince?: Millis;
+  /** When another daemon was last asked for samples. */
+  askedAt: Millis;
   /** When a target was last chosen to lead. */
   rotatedAt: Millis;
   /** Usual time that a statement takes at a target, by kind of access. */
@@ -238,6 +244,8 @@
   readonly woken: Set<GroupRow>;
   nextConnection: ConnectionId;
   epoch: number;
+  /** When time was last found to have jumped, on the steady clock. */
+  jumpedAt: Millis;
   drainingSince?: Millis;
   lastTickAt: Millis;
 }
