--- a/packages/platform/src/httpJson.ts
+++ b/packages/platform/src/httpJson.ts
@@ -56,8 +56,10 @@
         const timer = setTimeout(() => {
           req.destroy(new Error(`no reply within ${timeoutMs} ms`));
         }, timeoutMs);
+        const connectTimer = watchConnect(req);
         req.on('error', (err) => {
           clearTimeout(timer);
+          clearTimeout(connectTimer);
           reject(err);
         });
         req.end(payload);
@@ -68,6 +70,27 @@
   };
 }
 
+/**
+ * Time allowed for a connection to open. A lost opening packet is repeated only after seconds, so
+ * that a new try is faster than waiting.
+ */
+const CONNECT_TIMEOUT_MS: Millis = 500;
+
+/** Ends a call whose connection does not open in time; a kept-alive one is open already. */
+function watchConnect(req: http.ClientRequest): NodeJS.Timeout {
+  const timer = setTimeout(() => {
+    req.destroy(new Error(`not connected within ${CONNECT_TIMEOUT_MS} ms`));
+  }, CONNECT_TIMEOUT_MS);
+  req.on('socket', (socket) => {
+    const stop = (): void => {
+      clearTimeout(timer);
+    };
+    if (socket.connecting) socket.once('connect', stop);
+    else stop();
+  });
+  return timer;
+}
+
 /** Counts what a kept-alive socket has carried since it was last counted. */
 function createSocketCounter(countBytes: ByteCounter): (socket: Socket) => void {
   const counted = new WeakMap<Socket, { sent: number; received: number }>();
