--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -157,4 +157,22 @@
   assert.is(rig.engine.world.targets.size, 3);
 });
 
+test('a list that shows no target of a routed group is not enough to serve', () => {
+  const rig = createRig();
+  assert.ok(rig.engine.coversRoutes());
+  const { config } = rig.engine.world;
+  const route = config?.routes.get('loops');
+  if (!config || !route) throw new Error('no route');
+  rig.engine.applyConfig(
+    {
+      ...config,
+      version: 2,
+      routes: new Map([...config.routes, ['other', { ...route, group: 'h' }]]),
+      groups: new Map([...config.groups, ['h', { connectionLimit: 5 }]]),
+    },
+    'test',
+  );
+  assert.not.ok(rig.engine.coversRoutes());
+});
+
 test.run();
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -77,6 +77,8 @@
   tellSamples: (groups: readonly GroupId[]) => readonly ToldSample[];
   /** Samples that were asked for at `askedAt`. */
   samplesTold: (samples: readonly ToldSample[], askedAt: Millis) => void;
+  /** True when the list shows a target of every group that a route leads to. */
+  coversRoutes: () => boolean;
   /** This daemon's report for the others. */
   report: (view: number) => PeerReport;
 }
@@ -187,6 +189,7 @@
       applyTold(world, samples, askedAt);
       settle();
     },
+    coversRoutes: () => coversRoutes(world),
     report: (view) => createReport(world, view),
   };
 }
@@ -426,6 +429,14 @@
   }
 }
 
+function coversRoutes(world: World): boolean {
+  for (const route of world.config?.routes.values() ?? []) {
+    const group = world.groups.get(route.group);
+    if (group?.targets.size === 0) return false;
+  }
+  return true;
+}
+
 function createReport(world: World, view: number): PeerReport {
   const now = world.clock.now();
   const opinions: { group: GroupId; target: TargetId; reachable: boolean }[] = [];
