feat(direct): write nothing through a primary that most daemons have lost

Ruled out: the choice of the successor (the newest log was promoted). Change: writes are refused with a time to come back while most daemons report that they cannot reach the primary; reads go on.

--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -59,6 +59,29 @@
   assert.is(rig.promotions.length, 1);
 });
 
+test('nothing is written through a primary that most daemons have lost, reads go on', () => {
+  const rig = start();
+  const lost = ['d2', 'd3', 'd4'].map((name) => report(name, false));
+  keepTelling(rig, lost, 400);
+  const write = rig.ask('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(5);
+  const answer = rig.answerOf(write)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'group_unavailable');
+  assert.is(rig.targets[0]?.received.index, 100);
+  openSession(rig, 'r', 'bookings');
+  const read = rig.ask('r', { kind: 'read', text: 'READ 1' });
+  rig.run(60);
+  assert.is(rig.answerOf(read)?.answer.kind, 'done');
+  keepTelling(
+    rig,
+    lost.map((one) => report(one.name, true)),
+    1_400,
+  );
+  const again = rig.ask('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(60);
+  assert.is(rig.answerOf(again)?.answer.kind, 'done');
+});
+
 test('a leaving primary is replaced while it still serves', () => {
   const rig = start();
   rig.list((entry) => (entry.id === 't1' ? { ...entry, leaving: true } : entry));
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -58,7 +58,7 @@
     if (row.notBefore > now) continue;
     const after = resolvePosition(world, row);
     const target = row.needsPrimary
-      ? choosePrimary(world, group, wanted, now)
+      ? choosePrimary(world, row, wanted, now)
       : chooseAny(world, group, row, after, wanted, now);
     if (!target) continue;
     const connection = takeConnection(target, now, row.session.values);
@@ -91,14 +91,21 @@
   return laterOf(sample?.position, row.session.position);
 }
 
+/** True for work that may lead to a commit. */
+export function mayWrite(row: RequestRow): boolean {
+  return row.access === 'write' || (row.transaction !== undefined && !row.transaction.readOnly);
+}
+
 function choosePrimary(
   world: World,
-  group: GroupRow,
+  row: RequestRow,
   wanted: Map<TargetRow, number>,
   now: Millis,
 ): TargetRow | undefined {
+  const { group } = row;
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   if (!primary || !isUsable(world, primary, now)) return undefined;
+  if (group.contested && mayWrite(row)) return undefined;
   if (!hasRoom(world, primary, now)) return undefined;
   if (primary.idle.length > 0) return primary;
   wanted.set(primary, (wanted.get(primary) ?? 0) + 1);
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -240,6 +240,7 @@
     samples: [],
     queue: [],
     lastRequestAt: world.clock.now(),
+    contested: false,
     demandAt: -Infinity,
     rotatedAt: -Infinity,
     askedAt: -Infinity,
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -11,6 +11,7 @@
 import { isUsable } from './dispatch';
 import { isSampler, isScarce, spreadHash } from './sampling';
 import { countOpinions } from './fleet';
+import type { Opinions } from './fleet';
 import { noteLead, noteNotLeading, reviewPrimary } from './leadership';
 import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
 import type { GroupRow, TargetRow, World } from './tables';
@@ -207,18 +208,30 @@
 
 const NO_VALUES: ReadonlyMap<string, string> = new Map();
 
+/**
+ * Notes whether the primary is about to be replaced for want of reach. Answers a primary that is
+ * cut off with some daemons: what it acknowledged to them would be cut back by its successor.
+ */
+function noteContested(world: World, group: GroupRow, opinions: Opinions): void {
+  const contested = group.suspected === undefined && opinions.suspecting > opinions.trusting + 1;
+  if (contested === group.contested) return;
+  group.contested = contested;
+  world.woken.add(group);
+  world.sides.log({ type: 'primary_contested', group: group.id, contested, ...opinions });
+}
+
 function maybeStart(
   world: World,
   group: GroupRow,
   primary: TargetRow | undefined,
   now: Millis,
 ): void {
-  if (group.expected || world.drainingSince !== undefined) return;
-  if (group.pausedUntil !== undefined && now < group.pausedUntil) return;
+  if (world.drainingSince !== undefined) return;
   const opinions =
     primary === undefined
       ? { suspecting: 0, trusting: 0 }
       : countOpinions(world, group.id, primary.entry.id, now);
+  noteContested(world, group, opinions);
   const reason = findPromotionReason({
     known: primary !== undefined,
     leaving: primary?.leavingSince !== undefined,
@@ -233,6 +246,12 @@
     group.reasonSince = undefined;
     return;
   }
+  if (group.expected) {
+    // The turns start anew if what is expected does not come.
+    group.reasonSince = undefined;
+    return;
+  }
+  if (group.pausedUntil !== undefined && now < group.pausedUntil) return;
   group.reasonSince ??= now;
   const peers = [...world.fleet.peers.keys()];
   const turn = promotionTurn(world.self.name, peers, group.id);
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -56,13 +56,19 @@
   return (sum * others) / peers.size;
 }
 
+/** Other daemons that cannot reach a primary, and that can. */
+export interface Opinions {
+  readonly suspecting: number;
+  readonly trusting: number;
+}
+
 /** Other daemons' recent opinions of a primary. */
 export function countOpinions(
   world: World,
   group: GroupId,
   target: TargetId,
   now: Millis,
-): { readonly suspecting: number; readonly trusting: number } {
+): Opinions {
   let suspecting = 0;
   let trusting = 0;
   for (const peer of world.fleet.peers.values()) {
--- a/packages/direct/src/notes.ts
+++ b/packages/direct/src/notes.ts
@@ -67,6 +67,13 @@
       readonly target: TargetId;
       readonly silentMs: Millis;
     }
+  | {
+      readonly type: 'primary_contested';
+      readonly group: GroupId;
+      readonly contested: boolean;
+      readonly suspecting: number;
+      readonly trusting: number;
+    }
   | {
       readonly type: 'promotion_started';
       readonly group: GroupId;
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -2,7 +2,7 @@
 import { admit, queueKey, retryAfterMs } from './admission';
 import type { Prospects } from './admission';
 import type { Route } from './configuration';
-import { isUsable } from './dispatch';
+import { isUsable, mayWrite } from './dispatch';
 import { finishAs } from './execution';
 import { othersInFlight } from './fleet';
 import type { ExecutionHooks } from './execution';
@@ -106,12 +106,19 @@
     ahead,
     connections,
     holdMs: group.holdMs[lane].value,
-    primaryWaitMs: row.needsPrimary ? expectedPrimaryWaitMs(world, group, now) : 0,
+    primaryWaitMs: primaryWaitOf(world, row, now),
     aimMs: row.route.aimMs,
     leftMs: row.deadlineAt - now,
   };
 }
 
+function primaryWaitOf(world: World, row: RequestRow, now: Millis): Millis {
+  const { group } = row;
+  if (!row.needsPrimary) return 0;
+  if (group.contested && mayWrite(row)) return group.promoteMs.value;
+  return expectedPrimaryWaitMs(world, group, now);
+}
+
 /** Statements of this daemon that a target may work on at a time. */
 function shareOfRoom(world: World, target: TargetRow): number {
   const total = target.entry.slots * world.settings.inFlightPerSlot;
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -155,6 +155,8 @@
   /** Since when the group has lacked a usable primary. */
   troubledSince?: Millis;
   suspected?: TargetId;
+  /** Most daemons cannot reach the primary that this one can: it is about to be replaced. */
+  contested: boolean;
   promotion?: Promotion;
   /** A claim seen in the store: this target is about to lead. */
   expected?: { readonly target: TargetId; readonly since: Millis };
