fix(direct): no promotion against other daemons' proof of another lead

Ruled out: samples (the same reads are clean without the second promotion) and the fencing (tokens rose).

--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -445,8 +445,9 @@
     const target = group.primary === undefined ? undefined : group.targets.get(group.primary);
     if (!target) continue;
     const reachable = target.failingSince === undefined;
-    // Without a recent reply this daemon knows nothing either way.
-    if (reachable && now - target.lastReplyAt > world.settings.opinionMs) continue;
+    // Without recent proof of the lead this daemon knows nothing either way.
+    const provenMs = now - (group.primaryProvenAt ?? -Infinity);
+    if (reachable && provenMs > world.settings.opinionMs) continue;
     opinions.push({ group: group.id, target: target.entry.id, reachable });
   }
   const loads: [TargetId, number, number][] = [];
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -32,6 +32,8 @@
   /** Other daemons that cannot reach it, and that can. */
   readonly suspecting: number;
   readonly trusting: number;
+  /** Other daemons that have proof of another target's lead. */
+  readonly elsewhere: number;
 }
 
 /** A group in which nobody leads is given this long to settle by itself. */
@@ -63,13 +65,18 @@
  * cut off from most daemons; a cut from a few is left alone, since their callers can go elsewhere.
  * Also answers replicas that apply what they receive too late for any read: one that leads has
  * applied all of it, and the old primary serves reads beside it.
+ *
+ * Never answers a daemon's own view alone: where others have proof of another lead, this daemon is
+ * cut off from it, and a promotion would bring back commits that the other lead has cut off.
  */
 export function findPromotionReason(view: PrimaryView): PromotionReason | undefined {
+  if (view.elsewhere > 0) return undefined;
   if (view.known && view.leaving) return 'leaving';
+  const isAlone = view.hasPeers && view.suspecting + view.trusting === 0;
+  if (!view.known && isAlone && view.troubledMs < ALONE_MS) return undefined;
   if (!view.known) return view.troubledMs > NOBODY_LEADS_MS ? 'nobody_leads' : undefined;
   if (!view.suspected) return view.strandedMs > STRANDED_MS ? 'replicas_behind' : undefined;
   if (view.gone) return 'gone';
-  const isAlone = view.hasPeers && view.suspecting + view.trusting === 0;
   if (isAlone && view.troubledMs < ALONE_MS) return undefined;
   return view.suspecting + 1 > view.trusting ? 'unreachable' : undefined;
 }
@@ -227,10 +234,7 @@
   now: Millis,
 ): void {
   if (world.drainingSince !== undefined) return;
-  const opinions =
-    primary === undefined
-      ? { suspecting: 0, trusting: 0 }
-      : countOpinions(world, group.id, primary.entry.id, now);
+  const opinions = countOpinions(world, group.id, primary?.entry.id, now);
   noteContested(world, group, opinions);
   const reason = findPromotionReason({
     known: primary !== undefined,
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -56,27 +56,33 @@
   return (sum * others) / peers.size;
 }
 
-/** Other daemons that cannot reach a primary, and that can. */
+/** What the other daemons say of a group's primary. */
 export interface Opinions {
+  /** Daemons that cannot reach the primary that is asked about. */
   readonly suspecting: number;
+  /** Daemons that have proof of its lead. */
   readonly trusting: number;
+  /** Daemons that have proof of another target's lead. */
+  readonly elsewhere: number;
 }
 
-/** Other daemons' recent opinions of a primary. */
+/** Counts the other daemons' recent opinions; `target` is absent when no primary is known here. */
 export function countOpinions(
   world: World,
   group: GroupId,
-  target: TargetId,
+  target: TargetId | undefined,
   now: Millis,
 ): Opinions {
   let suspecting = 0;
   let trusting = 0;
+  let elsewhere = 0;
   for (const peer of world.fleet.peers.values()) {
     if (now - peer.at > world.settings.opinionMs) continue;
     const opinion = peer.report.opinions.find((one) => one.group === group);
-    if (opinion?.target !== target) continue;
-    if (opinion.reachable) trusting += 1;
+    if (!opinion) continue;
+    if (opinion.target !== target) elsewhere += opinion.reachable ? 1 : 0;
+    else if (opinion.reachable) trusting += 1;
     else suspecting += 1;
   }
-  return { suspecting, trusting };
+  return { suspecting, trusting, elsewhere };
 }
