--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -1,7 +1,7 @@
 import type { Millis, Position } from '@rosedeck/shared';
 import { mayOpen, openConnection, takeConnection } from './connections';
 import { executeInTransaction, executeRequest } from './execution';
-import type { ExecutionHooks } from './execution';
+import type { ExecutionHooks } from './setbacks';
 import { othersInFlight } from './fleet';
 import { chooseReadTarget, roomAt, slownessAt } from './placement';
 import type { PlacementCandidate, Room } from './placement';
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -1,30 +1,14 @@
-import { createFailure } from '@rosedeck/shared';
-import type { ErrorKind, Millis, Position } from '@rosedeck/shared';
-import { dropConnection, loseConnection, releaseConnection, sendOps } from './connections';
-import { noteLead, noteNotLeading } from './leadership';
-import { noteResponse } from './placement';
-import { lagBehind, laterOf } from './samples';
-import { hasNotRun } from './statements';
-import type { CallerAnswer, LossReason, TargetOp, TargetReply } from './statements';
-import { noteMean } from './tables';
-import type { ConnectionRow, ReplyHandler, RequestRow, SentOp, TargetRow, World } from './tables';
-
-/** Told of the end of a request. */
-export type FinishRequest = (world: World, row: RequestRow, answer: CallerAnswer) => void;
-
-/** Told that a request is to be placed again. */
-export type RequeueRequest = (world: World, row: RequestRow) => void;
-
-/** What execution needs of the systems around it. */
-export interface ExecutionHooks {
-  readonly finish: FinishRequest;
-  readonly requeue: RequeueRequest;
-}
-
-type Step = readonly [TargetOp, ReplyHandler];
-
-/** Pause before a busy target is asked again. */
-const BUSY_RETRY_MS: Millis = 15;
+import type { Position } from '@rosedeck/shared';
+import { loseConnection, sendOps } from './connections';
+import { noteLead } from './leadership';
+import { freeAfter, noteHold, noteReply, noteRun } from './replies';
+import { rollBack, rollbackStep } from './rollback';
+import type { Step } from './rollback';
+import { laterOf } from './samples';
+import { handleLoss, handleRefusal } from './setbacks';
+import type { ExecutionHooks } from './setbacks';
+import type { TargetOp, TargetReply } from './statements';
+import type { ConnectionRow, RequestRow, SentOp, World } from './tables';
 
 /**
  * Runs a request on a connection. A read that must see every commit runs inside a transaction of
@@ -86,23 +70,6 @@
   ]);
 }
 
-/** Rolls back what a connection has open and frees it. */
-export function rollBack(world: World, connection: ConnectionRow): void {
-  connection.onLost = undefined;
-  sendOps(world, connection, [rollbackStep(world, connection)]);
-}
-
-function rollbackStep(world: World, connection: ConnectionRow): Step {
-  return [
-    { op: 'rollback' },
-    (reply) => {
-      const now = world.clock.now();
-      if (reply.inTransaction) loseConnection(world, connection, 'protocol', now);
-      else releaseConnection(world, connection, now);
-    },
-  ];
-}
-
 /** A connection that was idle for long may be dead; a write must not be risked on it. */
 function checkFirst(
   world: World,
@@ -266,192 +233,6 @@
   hooks.finish(world, row, { kind: 'done', rows: reply.rows, digest: reply.digest });
 }
 
-function noteHold(world: World, row: RequestRow, connection: ConnectionRow, now: Millis): void {
-  if (row.transaction && row.access !== 'commit') return;
-  noteMean(row.group.holdMs[row.needsPrimary ? 'primary' : 'any'], now - connection.takenAt);
-}
-
-function freeAfter(world: World, connection: ConnectionRow, inTransaction: boolean): void {
-  const now = world.clock.now();
-  if (inTransaction || connection.pending.length > 0)
-    loseConnection(world, connection, 'protocol', now);
-  else releaseConnection(world, connection, now);
-}
-
-function noteReply(target: TargetRow, reply: TargetReply, now: Millis): void {
-  target.applied = laterOf(target.applied, reply.position);
-  if (!reply.position) return;
-  target.lag = { ms: lagBehind(target.group.samples, reply.position, now) ?? Infinity, at: now };
-}
-
-function noteRun(world: World, row: RequestRow, target: TargetRow, tookMs: Millis): void {
-  if (row.access === 'commit') return;
-  const usual = row.group.runMs[row.access];
-  const expectedMs = row.group.routeMs.get(row.route.name)?.value ?? usual.value;
-  const now = world.clock.now();
-  noteResponse(target.rating, tookMs / expectedMs, now, world.settings.slownessFadeMs);
-  noteMean(usual, tookMs);
-  const own = row.group.routeMs.get(row.route.name);
-  if (own) noteMean(own, tookMs);
-  else row.group.routeMs.set(row.route.name, { value: tookMs });
-}
-
-/** A target has said why it did not do what it was asked. */
-function handleRefusal(
-  world: World,
-  hooks: ExecutionHooks,
-  row: RequestRow,
-  connection: ConnectionRow,
-  reply: Extract<TargetReply, { kind: 'failed' }>,
-  sent: SentOp,
-  isWrapped = false,
-): void {
-  const now = world.clock.now();
-  const { target } = connection;
-  row.running.delete(connection);
-  if (reply.code === 'read_only') noteNotLeading(world, target, sent);
-  if (reply.code === 'behind') noteReply(target, reply, now);
-  if (reply.code === 'unknown_prepared') connection.prepared.clear();
-  const { transaction } = row;
-  const isOpen = transaction?.connection === connection;
-  if (isOpen && reply.code === 'busy' && reply.inTransaction && row.stage !== 'done') {
-    row.mayHaveRun = false;
-    row.lastProblem = reply.code;
-    row.notBefore = now + BUSY_RETRY_MS;
-    row.stage = 'queued';
-    if (row.notBefore < row.deadlineAt) return;
-  }
-  if (transaction && isOpen) transaction.connection = undefined;
-  // A wrapped read has its own rollback on the way.
-  if (!isWrapped) settle(world, connection, reply);
-  if (row.stage === 'done') return;
-  if (!hasNotRun(reply.code)) {
-    hooks.finish(world, row, {
-      kind: 'failed',
-      failure: createFailure('target_error', reply.detail),
-      targetCode: reply.code,
-    });
-    return;
-  }
-  if (row.running.size > 0) return;
-  row.mayHaveRun = false;
-  row.lastProblem = reply.code;
-  if (isOpen) {
-    finishAs(world, hooks, row, 'transaction_lost', `the target said ${reply.code}`);
-    return;
-  }
-  retry(world, hooks, row, reply.code, target);
-}
-
-function settle(
-  world: World,
-  connection: ConnectionRow,
-  reply: Extract<TargetReply, { kind: 'failed' }>,
-): void {
-  if (connection.pending.length > 0) {
-    loseConnection(world, connection, 'protocol', world.clock.now());
-    return;
-  }
-  if (reply.inTransaction) rollBack(world, connection);
-  else releaseConnection(world, connection, world.clock.now());
-}
-
-/** A connection ended under a request. */
-function handleLoss(
-  world: World,
-  hooks: ExecutionHooks,
-  row: RequestRow,
-  connection: ConnectionRow,
-  reason: LossReason,
-): void {
-  const wasRunning = row.running.delete(connection);
-  const { transaction } = row;
-  const isOpen = transaction?.connection === connection;
-  if (isOpen) transaction.connection = undefined;
-  if (row.stage === 'done' || !wasRunning) {
-    if (isOpen) transaction.lost = `the connection to the target ended (${reason})`;
-    return;
-  }
-  if (row.running.size > 0) return;
-  row.lastProblem = reason;
-  if (isOpen) {
-    const kind = row.access === 'commit' ? 'outcome_unknown' : 'transaction_lost';
-    finishAs(world, hooks, row, kind, `the connection to the target ended (${reason})`);
-    return;
-  }
-  if (row.mayHaveRun && row.access !== 'read') {
-    finishAs(world, hooks, row, 'outcome_unknown', `the connection ended (${reason})`);
-    return;
-  }
-  retry(world, hooks, row, reason, connection.target);
-}
-
-function retry(
-  world: World,
-  hooks: ExecutionHooks,
-  row: RequestRow,
-  reason: string,
-  target: TargetRow,
-): void {
-  const now = world.clock.now();
-  if (row.session.closed) {
-    finishAs(world, hooks, row, 'transaction_lost', 'the caller is gone');
-    return;
-  }
-  if (row.tries >= world.settings.maxTries || now >= row.deadlineAt) {
-    giveUp(world, hooks, row, `tried ${row.tries} times, last: ${reason}`);
-    return;
-  }
-  world.sides.log({
-    type: 'request_retried',
-    request: row.id,
-    target: target.entry.id,
-    reason,
-    afterMs: Math.round(now - row.arrivedAt),
-  });
-  row.notBefore = reason === 'busy' ? now + BUSY_RETRY_MS : now;
-  hooks.requeue(world, row);
-}
-
-/** Ends a request that cannot be served in time, with what is known of it. */
-export function giveUp(world: World, hooks: ExecutionHooks, row: RequestRow, detail: string): void {
-  const { transaction } = row;
-  if (transaction?.connection) {
-    const kind = row.access === 'commit' ? 'outcome_unknown' : 'transaction_lost';
-    finishAs(world, hooks, row, row.mayHaveRun ? kind : 'transaction_lost', detail);
-    return;
-  }
-  let kind: ErrorKind = 'overloaded';
-  if (row.mayHaveRun) kind = row.access === 'read' ? 'read_interrupted' : 'outcome_unknown';
-  else if (row.needsPrimary && row.group.primaryProvenAt === undefined) kind = 'group_unavailable';
-  finishAs(world, hooks, row, kind, detail);
-}
-
-/** Ends a running request whose time is up. Its connections are closed, never handed on. */
-export function expireRunning(world: World, hooks: ExecutionHooks, row: RequestRow): void {
-  const connections = [...row.running];
-  row.running.clear();
-  giveUp(world, hooks, row, 'no answer within the statement timeout');
-  for (const connection of connections) {
-    if (row.transaction?.connection === connection) row.transaction.connection = undefined;
-    connection.onLost = undefined;
-    dropConnection(world, connection);
-  }
-}
-
-/** Ends a request with a failure of the engine's own. */
-export function finishAs(
-  world: World,
-  hooks: ExecutionHooks,
-  row: RequestRow,
-  kind: ErrorKind,
-  detail: string,
-  retryAfter?: Millis,
-): void {
-  if (row.transaction) row.transaction.lost ??= detail;
-  hooks.finish(world, row, { kind: 'failed', failure: createFailure(kind, detail, retryAfter) });
-}
-
 function leave(world: World, row: RequestRow, connection: ConnectionRow): void {
   row.running.delete(connection);
   freeAfter(world, connection, false);
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,56 +1,16 @@
 import { formatPosition, positionOrd } from '@rosedeck/shared';
-import type { GroupId, InstanceId, Millis, Position, TargetId } from '@rosedeck/shared';
-import {
-  releaseConnection,
-  sendOps,
-  takeConnection,
-  loseConnection,
-  mayOpen,
-  openConnection,
-} from './connections';
+import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './dispatch';
-import { isSampler, isScarce, spreadHash } from './sampling';
 import { countOpinions } from './fleet';
 import type { Opinions } from './fleet';
-import { noteLead, noteNotLeading, reviewPrimary } from './leadership';
+import { probeTargets, survey } from './leadProbes';
+import { reviewPrimary } from './leadership';
+import { chooseCandidate, findPromotionReason, promotionTurn } from './promotionPolicy';
+import type { PromotionCandidate } from './promotionPolicy';
 import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
+import { trackStranded } from './stranded';
 import type { GroupRow, TargetRow, World } from './tables';
 
-/** What decides whether a group needs a promotion. */
-export interface PrimaryView {
-  readonly known: boolean;
-  readonly leaving: boolean;
-  readonly gone: boolean;
-  /** This daemon cannot reach it. */
-  readonly suspected: boolean;
-  /** Time without a primary that proves its lead. */
-  readonly troubledMs: Millis;
-  /** Time that the primary has been alone with more reads than it can serve. */
-  readonly strandedMs: Millis;
-  /** The directory shows other daemons. */
-  readonly hasPeers: boolean;
-  /** Other daemons that cannot reach it, and that can. */
-  readonly suspecting: number;
-  readonly trusting: number;
-  /** Other daemons that have proof of another target's lead. */
-  readonly elsewhere: number;
-}
-
-/** A group in which nobody leads is given this long to settle by itself. */
-const NOBODY_LEADS_MS: Millis = 1_200;
-
-/** A daemon that hears nothing of the others may be the one that is cut off; it waits this long. */
-const ALONE_MS: Millis = 4_000;
-
-/** Replicas that fall behind for less than this catch up by themselves. */
-const STRANDED_MS: Millis = 1_000;
-
-/** Time after a change of primary in which lagging replicas cause no other. */
-const ROTATION_PAUSE_MS: Millis = 8_000;
-
-/** Time for which a refusal or a queue shows that the primary alone is not enough. */
-const DEMAND_MS: Millis = 500;
-
 /** Time that a rejected candidate is passed over. */
 const REJECTED_MS: Millis = 2_000;
 
@@ -60,66 +20,6 @@
 /** A replica that lacks a position this old receives nothing at present. */
 const DEAF_MS: Millis = 500;
 
-/**
- * Whether the group needs another primary, and why. Answers a primary that is lost, leaves, or is
- * cut off from most daemons; a cut from a few is left alone, since their callers can go elsewhere.
- * Also answers replicas that apply what they receive too late for any read: one that leads has
- * applied all of it, and the old primary serves reads beside it.
- *
- * Never answers a daemon's own view alone: where others have proof of another lead, this daemon is
- * cut off from it, and a promotion would bring back commits that the other lead has cut off.
- */
-export function findPromotionReason(view: PrimaryView): PromotionReason | undefined {
-  if (view.elsewhere > 0) return undefined;
-  if (view.known && view.leaving) return 'leaving';
-  const isAlone = view.hasPeers && view.suspecting + view.trusting === 0;
-  if (!view.known && isAlone && view.troubledMs < ALONE_MS) return undefined;
-  if (!view.known) return view.troubledMs > NOBODY_LEADS_MS ? 'nobody_leads' : undefined;
-  if (!view.suspected) return view.strandedMs > STRANDED_MS ? 'replicas_behind' : undefined;
-  if (view.gone) return 'gone';
-  if (isAlone && view.troubledMs < ALONE_MS) return undefined;
-  return view.suspecting + 1 > view.trusting ? 'unreachable' : undefined;
-}
-
-/** One replica that may be promoted. */
-export interface PromotionCandidate {
-  readonly id: TargetId;
-  readonly leaving: boolean;
-  /** Last position that it is known to hold. */
-  readonly received?: Position;
-  readonly answered: boolean;
-  readonly failing: boolean;
-}
-
-/** The replica with the newest log; ties go to one that answered and stays. */
-export function chooseCandidate(
-  candidates: readonly PromotionCandidate[],
-): PromotionCandidate | undefined {
-  const fit = candidates.filter((one) => !one.failing);
-  const staying = fit.filter((one) => !one.leaving);
-  const pool = staying.length > 0 ? staying : fit;
-  return pool.reduce<PromotionCandidate | undefined>(
-    (best, one) => (best === undefined || isBetter(one, best) ? one : best),
-    undefined,
-  );
-}
-
-function isBetter(a: PromotionCandidate, b: PromotionCandidate): boolean {
-  if (!a.received || !b.received) return a.received !== undefined && b.received === undefined;
-  const order = positionOrd.compare(a.received, b.received);
-  return order === 0 ? a.answered && !b.answered : order > 0;
-}
-
-/** Head start order of the daemons for a group: each name has its own place in each group. */
-export function promotionTurn(
-  self: InstanceId,
-  others: readonly InstanceId[],
-  group: GroupId,
-): number {
-  const own = spreadHash(`${group}/${self}`);
-  return others.filter((name) => spreadHash(`${group}/${name}`) < own).length;
-}
-
 /** Keeps the belief about a group's primary current, and starts promotions. */
 export function runFailover(world: World, group: GroupRow, now: Millis): void {
   if (group.targets.size === 0) return;
@@ -165,56 +65,6 @@
   });
 }
 
-/** Asks for proof of the lead: of the primary when its newest proof is old, of all when it is unknown. */
-function probeTargets(
-  world: World,
-  group: GroupRow,
-  primary: TargetRow | undefined,
-  now: Millis,
-): void {
-  const { settings } = world;
-  if (isScarce(world, group) && !isSampler(world, group)) return;
-  const provenAt = group.primaryProvenAt;
-  const isSettled = primary !== undefined && provenAt !== undefined && !group.expected;
-  if (isSettled) {
-    if (now - group.lastRequestAt > settings.sampleIdleMs) return;
-    if (now - provenAt >= settings.sampleEveryMs) probeLead(world, primary, now);
-    return;
-  }
-  for (const target of group.targets.values())
-    if (isUsable(world, target, now)) probeLead(world, target, now);
-}
-
-function probeLead(world: World, target: TargetRow, now: Millis): void {
-  if (now - target.probedAt < world.settings.probeEveryMs) return;
-  const connection = takeConnection(target, now, NO_VALUES);
-  if (!connection) {
-    if (target.connections.size === 0 && mayOpen(world, target, now))
-      openConnection(world, target, now);
-    return;
-  }
-  target.probedAt = now;
-  sendOps(world, connection, [
-    [
-      { op: 'begin', readOnly: false },
-      (reply, sent) => {
-        if (reply.kind === 'done') noteLead(world, target, reply.position, sent);
-        else if (reply.code === 'read_only') noteNotLeading(world, target, sent);
-      },
-    ],
-    [
-      { op: 'rollback' },
-      (reply) => {
-        const at = world.clock.now();
-        if (reply.inTransaction) loseConnection(world, connection, 'protocol', at);
-        else releaseConnection(world, connection, at);
-      },
-    ],
-  ]);
-}
-
-const NO_VALUES: ReadonlyMap<string, string> = new Map();
-
 /**
  * Notes whether the primary is about to be replaced for want of reach. Answers a primary that is
  * cut off with some daemons: what it acknowledged to them would be cut back by its successor.
@@ -265,57 +115,6 @@
   for (const target of group.targets.values()) survey(world, target, now);
 }
 
-/** Time since when all replicas have been too far behind for any read, while reads wait. */
-function trackStranded(world: World, group: GroupRow, now: Millis): Millis {
-  const isWanted = now - group.demandAt < DEMAND_MS && now - group.rotatedAt > ROTATION_PAUSE_MS;
-  if (!isWanted || !areReplicasBehind(world, group, now)) group.strandedSince = undefined;
-  else group.strandedSince ??= now;
-  return group.strandedSince === undefined ? 0 : now - group.strandedSince;
-}
-
-function areReplicasBehind(world: World, group: GroupRow, now: Millis): boolean {
-  const allowedMs = longestStaleness(world, group);
-  if (allowedMs === undefined) return false;
-  const replicas = [...group.targets.values()].filter(
-    (target) =>
-      target.entry.id !== group.primary &&
-      target.leavingSince === undefined &&
-      target.failingSince === undefined &&
-      isUsable(world, target, now),
-  );
-  return replicas.length > 0 && replicas.every((target) => (target.lag?.ms ?? 0) > allowedMs);
-}
-
-/** The greatest age of data that a route of the group accepts; undefined when none is limited. */
-function longestStaleness(world: World, group: GroupRow): Millis | undefined {
-  let longest: Millis | undefined;
-  for (const route of world.config?.routes.values() ?? []) {
-    if (route.group !== group.id || route.maxStalenessMs === undefined) continue;
-    longest = Math.max(longest ?? 0, route.maxStalenessMs);
-  }
-  return longest;
-}
-
-/** Asks a target for its status. */
-function survey(world: World, target: TargetRow, now: Millis): void {
-  if (target.entry.id === target.group.primary) return;
-  const connection = takeConnection(target, now, NO_VALUES);
-  if (!connection) {
-    if (mayOpen(world, target, now)) openConnection(world, target, now);
-    return;
-  }
-  sendOps(world, connection, [
-    [
-      { op: 'status' },
-      (reply) => {
-        const at = world.clock.now();
-        if (reply.kind === 'done' && reply.status) target.status = { report: reply.status, at };
-        releaseConnection(world, connection, at);
-      },
-    ],
-  ]);
-}
-
 function continuePromotion(world: World, group: GroupRow, promotion: Promotion, now: Millis): void {
   const { settings } = world;
   if (promotion.stage === 'ordered') {
--- /dev/null
+++ b/packages/direct/src/leadProbes.ts
@@ -0,0 +1,83 @@
+import type { Millis } from '@rosedeck/shared';
+import {
+  loseConnection,
+  mayOpen,
+  openConnection,
+  releaseConnection,
+  sendOps,
+  takeConnection,
+} from './connections';
+import { isUsable } from './dispatch';
+import { noteLead, noteNotLeading } from './leadership';
+import { isSampler, isScarce } from './sampling';
+import type { GroupRow, TargetRow, World } from './tables';
+
+/** Asks for proof of the lead: of the primary when its newest proof is old, of all when it is unknown. */
+export function probeTargets(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  now: Millis,
+): void {
+  const { settings } = world;
+  if (isScarce(world, group) && !isSampler(world, group)) return;
+  const provenAt = group.primaryProvenAt;
+  const isSettled = primary !== undefined && provenAt !== undefined && !group.expected;
+  if (isSettled) {
+    if (now - group.lastRequestAt > settings.sampleIdleMs) return;
+    if (now - provenAt >= settings.sampleEveryMs) probeLead(world, primary, now);
+    return;
+  }
+  for (const target of group.targets.values())
+    if (isUsable(world, target, now)) probeLead(world, target, now);
+}
+
+function probeLead(world: World, target: TargetRow, now: Millis): void {
+  if (now - target.probedAt < world.settings.probeEveryMs) return;
+  const connection = takeConnection(target, now, NO_VALUES);
+  if (!connection) {
+    if (target.connections.size === 0 && mayOpen(world, target, now))
+      openConnection(world, target, now);
+    return;
+  }
+  target.probedAt = now;
+  sendOps(world, connection, [
+    [
+      { op: 'begin', readOnly: false },
+      (reply, sent) => {
+        if (reply.kind === 'done') noteLead(world, target, reply.position, sent);
+        else if (reply.code === 'read_only') noteNotLeading(world, target, sent);
+      },
+    ],
+    [
+      { op: 'rollback' },
+      (reply) => {
+        const at = world.clock.now();
+        if (reply.inTransaction) loseConnection(world, connection, 'protocol', at);
+        else releaseConnection(world, connection, at);
+      },
+    ],
+  ]);
+}
+
+const NO_VALUES: ReadonlyMap<string, string> = new Map();
+
+/** Asks a target for its status. */
+export function survey(world: World, target: TargetRow, now: Millis): void {
+  if (target.entry.id === target.group.primary) return;
+  const connection = takeConnection(target, now, NO_VALUES);
+  if (!connection) {
+    if (mayOpen(world, target, now)) openConnection(world, target, now);
+    return;
+  }
+  sendOps(world, connection, [
+    [
+      { op: 'status' },
+      (reply) => {
+        const at = world.clock.now();
+        if (reply.kind === 'done' && reply.status) target.status = { report: reply.status, at };
+        releaseConnection(world, connection, at);
+      },
+    ],
+  ]);
+}
--- /dev/null
+++ b/packages/direct/src/promotionPolicy.ts
@@ -0,0 +1,93 @@
+import { positionOrd } from '@rosedeck/shared';
+import type { GroupId, InstanceId, Millis, Position, TargetId } from '@rosedeck/shared';
+import type { PromotionReason } from './promotionTypes';
+import { spreadHash } from './sampling';
+
+/** What decides whether a group needs a promotion. */
+export interface PrimaryView {
+  readonly known: boolean;
+  readonly leaving: boolean;
+  readonly gone: boolean;
+  /** This daemon cannot reach it. */
+  readonly suspected: boolean;
+  /** Time without a primary that proves its lead. */
+  readonly troubledMs: Millis;
+  /** Time that the primary has been alone with more reads than it can serve. */
+  readonly strandedMs: Millis;
+  /** The directory shows other daemons. */
+  readonly hasPeers: boolean;
+  /** Other daemons that cannot reach it, and that can. */
+  readonly suspecting: number;
+  readonly trusting: number;
+  /** Other daemons that have proof of another target's lead. */
+  readonly elsewhere: number;
+}
+
+/** A group in which nobody leads is given this long to settle by itself. */
+const NOBODY_LEADS_MS: Millis = 1_200;
+
+/** A daemon that hears nothing of the others may be the one that is cut off; it waits this long. */
+const ALONE_MS: Millis = 4_000;
+
+/** Replicas that fall behind for less than this catch up by themselves. */
+const STRANDED_MS: Millis = 1_000;
+
+/**
+ * Whether the group needs another primary, and why. Answers a primary that is lost, leaves, or is
+ * cut off from most daemons; a cut from a few is left alone, since their callers can go elsewhere.
+ * Also answers replicas that apply what they receive too late for any read: one that leads has
+ * applied all of it, and the old primary serves reads beside it.
+ *
+ * Never answers a daemon's own view alone: where others have proof of another lead, this daemon is
+ * cut off from it, and a promotion would bring back commits that the other lead has cut off.
+ */
+export function findPromotionReason(view: PrimaryView): PromotionReason | undefined {
+  if (view.elsewhere > 0) return undefined;
+  if (view.known && view.leaving) return 'leaving';
+  const isAlone = view.hasPeers && view.suspecting + view.trusting === 0;
+  if (!view.known && isAlone && view.troubledMs < ALONE_MS) return undefined;
+  if (!view.known) return view.troubledMs > NOBODY_LEADS_MS ? 'nobody_leads' : undefined;
+  if (!view.suspected) return view.strandedMs > STRANDED_MS ? 'replicas_behind' : undefined;
+  if (view.gone) return 'gone';
+  if (isAlone && view.troubledMs < ALONE_MS) return undefined;
+  return view.suspecting + 1 > view.trusting ? 'unreachable' : undefined;
+}
+
+/** One replica that may be promoted. */
+export interface PromotionCandidate {
+  readonly id: TargetId;
+  readonly leaving: boolean;
+  /** Last position that it is known to hold. */
+  readonly received?: Position;
+  readonly answered: boolean;
+  readonly failing: boolean;
+}
+
+/** The replica with the newest log; ties go to one that answered and stays. */
+export function chooseCandidate(
+  candidates: readonly PromotionCandidate[],
+): PromotionCandidate | undefined {
+  const fit = candidates.filter((one) => !one.failing);
+  const staying = fit.filter((one) => !one.leaving);
+  const pool = staying.length > 0 ? staying : fit;
+  return pool.reduce<PromotionCandidate | undefined>(
+    (best, one) => (best === undefined || isBetter(one, best) ? one : best),
+    undefined,
+  );
+}
+
+function isBetter(a: PromotionCandidate, b: PromotionCandidate): boolean {
+  if (!a.received || !b.received) return a.received !== undefined && b.received === undefined;
+  const order = positionOrd.compare(a.received, b.received);
+  return order === 0 ? a.answered && !b.answered : order > 0;
+}
+
+/** Head start order of the daemons for a group: each name has its own place in each group. */
+export function promotionTurn(
+  self: InstanceId,
+  others: readonly InstanceId[],
+  group: GroupId,
+): number {
+  const own = spreadHash(`${group}/${self}`);
+  return others.filter((name) => spreadHash(`${group}/${name}`) < own).length;
+}
--- /dev/null
+++ b/packages/direct/src/report.ts
@@ -0,0 +1,30 @@
+import type { GroupId, TargetId } from '@rosedeck/shared';
+import type { PeerReport } from './peerReport';
+import type { World } from './tables';
+
+/** This daemon's report for the others, with the store revision of its view. */
+export function createReport(world: World, view: number): PeerReport {
+  const now = world.clock.now();
+  const opinions: { group: GroupId; target: TargetId; reachable: boolean }[] = [];
+  for (const group of world.groups.values()) {
+    const target = group.primary === undefined ? undefined : group.targets.get(group.primary);
+    if (!target) continue;
+    const reachable = target.failingSince === undefined;
+    // Without recent proof of the lead this daemon knows nothing either way.
+    const provenMs = now - (group.primaryProvenAt ?? -Infinity);
+    if (reachable && provenMs > world.settings.opinionMs) continue;
+    opinions.push({ group: group.id, target: target.entry.id, reachable });
+  }
+  const loads: [TargetId, number, number][] = [];
+  for (const target of world.targets.values()) {
+    const { size } = target.connections;
+    if (size > 0) loads.push([target.entry.id, size, Math.round(target.load * 10) / 10]);
+  }
+  return {
+    name: world.self.name,
+    config: world.config?.version ?? 0,
+    view,
+    opinions,
+    loads,
+  };
+}
--- a/packages/direct/src/sessions.ts
+++ b/packages/direct/src/sessions.ts
@@ -1,8 +1,9 @@
 import { createFailure } from '@rosedeck/shared';
 import type { ErrorKind, RequestId, SessionId } from '@rosedeck/shared';
 import { dropConnection } from './connections';
-import { executeInTransaction, rollBack } from './execution';
-import type { ExecutionHooks } from './execution';
+import { executeInTransaction } from './execution';
+import { rollBack } from './rollback';
+import type { ExecutionHooks } from './setbacks';
 import { createRequest, dequeueRequest, enqueueRequest } from './requests';
 import type { RequestSpec } from './requests';
 import type { Access, CallerAnswer, CallerStatement } from './statements';
--- /dev/null
+++ b/packages/direct/src/setbacks.ts
@@ -0,0 +1,180 @@
+import { createFailure } from '@rosedeck/shared';
+import type { ErrorKind, Millis } from '@rosedeck/shared';
+import { dropConnection, loseConnection, releaseConnection } from './connections';
+import { noteNotLeading } from './leadership';
+import { noteReply } from './replies';
+import { rollBack } from './rollback';
+import { hasNotRun } from './statements';
+import type { CallerAnswer, LossReason, TargetReply } from './statements';
+import type { ConnectionRow, RequestRow, SentOp, TargetRow, World } from './tables';
+
+/** Told of the end of a request. */
+export type FinishRequest = (world: World, row: RequestRow, answer: CallerAnswer) => void;
+
+/** Told that a request is to be placed again. */
+export type RequeueRequest = (world: World, row: RequestRow) => void;
+
+/** What execution needs of the systems around it. */
+export interface ExecutionHooks {
+  readonly finish: FinishRequest;
+  readonly requeue: RequeueRequest;
+}
+
+/** Pause before a busy target is asked again. */
+const BUSY_RETRY_MS: Millis = 15;
+
+/** A target has said why it did not do what it was asked. */
+export function handleRefusal(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  connection: ConnectionRow,
+  reply: Extract<TargetReply, { kind: 'failed' }>,
+  sent: SentOp,
+  isWrapped = false,
+): void {
+  const now = world.clock.now();
+  const { target } = connection;
+  row.running.delete(connection);
+  if (reply.code === 'read_only') noteNotLeading(world, target, sent);
+  if (reply.code === 'behind') noteReply(target, reply, now);
+  if (reply.code === 'unknown_prepared') connection.prepared.clear();
+  const { transaction } = row;
+  const isOpen = transaction?.connection === connection;
+  if (isOpen && reply.code === 'busy' && reply.inTransaction && row.stage !== 'done') {
+    row.mayHaveRun = false;
+    row.lastProblem = reply.code;
+    row.notBefore = now + BUSY_RETRY_MS;
+    row.stage = 'queued';
+    if (row.notBefore < row.deadlineAt) return;
+  }
+  if (transaction && isOpen) transaction.connection = undefined;
+  // A wrapped read has its own rollback on the way.
+  if (!isWrapped) settle(world, connection, reply);
+  if (row.stage === 'done') return;
+  if (!hasNotRun(reply.code)) {
+    hooks.finish(world, row, {
+      kind: 'failed',
+      failure: createFailure('target_error', reply.detail),
+      targetCode: reply.code,
+    });
+    return;
+  }
+  if (row.running.size > 0) return;
+  row.mayHaveRun = false;
+  row.lastProblem = reply.code;
+  if (isOpen) {
+    finishAs(world, hooks, row, 'transaction_lost', `the target said ${reply.code}`);
+    return;
+  }
+  retry(world, hooks, row, reply.code, target);
+}
+
+function settle(
+  world: World,
+  connection: ConnectionRow,
+  reply: Extract<TargetReply, { kind: 'failed' }>,
+): void {
+  if (connection.pending.length > 0) {
+    loseConnection(world, connection, 'protocol', world.clock.now());
+    return;
+  }
+  if (reply.inTransaction) rollBack(world, connection);
+  else releaseConnection(world, connection, world.clock.now());
+}
+
+/** A connection ended under a request. */
+export function handleLoss(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  connection: ConnectionRow,
+  reason: LossReason,
+): void {
+  const wasRunning = row.running.delete(connection);
+  const { transaction } = row;
+  const isOpen = transaction?.connection === connection;
+  if (isOpen) transaction.connection = undefined;
+  if (row.stage === 'done' || !wasRunning) {
+    if (isOpen) transaction.lost = `the connection to the target ended (${reason})`;
+    return;
+  }
+  if (row.running.size > 0) return;
+  row.lastProblem = reason;
+  if (isOpen) {
+    const kind = row.access === 'commit' ? 'outcome_unknown' : 'transaction_lost';
+    finishAs(world, hooks, row, kind, `the connection to the target ended (${reason})`);
+    return;
+  }
+  if (row.mayHaveRun && row.access !== 'read') {
+    finishAs(world, hooks, row, 'outcome_unknown', `the connection ended (${reason})`);
+    return;
+  }
+  retry(world, hooks, row, reason, connection.target);
+}
+
+function retry(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  reason: string,
+  target: TargetRow,
+): void {
+  const now = world.clock.now();
+  if (row.session.closed) {
+    finishAs(world, hooks, row, 'transaction_lost', 'the caller is gone');
+    return;
+  }
+  if (row.tries >= world.settings.maxTries || now >= row.deadlineAt) {
+    giveUp(world, hooks, row, `tried ${row.tries} times, last: ${reason}`);
+    return;
+  }
+  world.sides.log({
+    type: 'request_retried',
+    request: row.id,
+    target: target.entry.id,
+    reason,
+    afterMs: Math.round(now - row.arrivedAt),
+  });
+  row.notBefore = reason === 'busy' ? now + BUSY_RETRY_MS : now;
+  hooks.requeue(world, row);
+}
+
+/** Ends a request that cannot be served in time, with what is known of it. */
+export function giveUp(world: World, hooks: ExecutionHooks, row: RequestRow, detail: string): void {
+  const { transaction } = row;
+  if (transaction?.connection) {
+    const kind = row.access === 'commit' ? 'outcome_unknown' : 'transaction_lost';
+    finishAs(world, hooks, row, row.mayHaveRun ? kind : 'transaction_lost', detail);
+    return;
+  }
+  let kind: ErrorKind = 'overloaded';
+  if (row.mayHaveRun) kind = row.access === 'read' ? 'read_interrupted' : 'outcome_unknown';
+  else if (row.needsPrimary && row.group.primaryProvenAt === undefined) kind = 'group_unavailable';
+  finishAs(world, hooks, row, kind, detail);
+}
+
+/** Ends a running request whose time is up. Its connections are closed, never handed on. */
+export function expireRunning(world: World, hooks: ExecutionHooks, row: RequestRow): void {
+  const connections = [...row.running];
+  row.running.clear();
+  giveUp(world, hooks, row, 'no answer within the statement timeout');
+  for (const connection of connections) {
+    if (row.transaction?.connection === connection) row.transaction.connection = undefined;
+    connection.onLost = undefined;
+    dropConnection(world, connection);
+  }
+}
+
+/** Ends a request with a failure of the engine's own. */
+export function finishAs(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  kind: ErrorKind,
+  detail: string,
+  retryAfter?: Millis,
+): void {
+  if (row.transaction) row.transaction.lost ??= detail;
+  hooks.finish(world, row, { kind: 'failed', failure: createFailure(kind, detail, retryAfter) });
+}
--- /dev/null
+++ b/packages/direct/src/stranded.ts
@@ -0,0 +1,40 @@
+import type { Millis } from '@rosedeck/shared';
+import { isUsable } from './dispatch';
+import type { GroupRow, World } from './tables';
+
+/** Time after a change of primary in which lagging replicas cause no other. */
+const ROTATION_PAUSE_MS: Millis = 8_000;
+
+/** Time for which a refusal or a queue shows that the primary alone is not enough. */
+const DEMAND_MS: Millis = 500;
+
+/** Time since when all replicas have been too far behind for any read, while reads wait. */
+export function trackStranded(world: World, group: GroupRow, now: Millis): Millis {
+  const isWanted = now - group.demandAt < DEMAND_MS && now - group.rotatedAt > ROTATION_PAUSE_MS;
+  if (!isWanted || !areReplicasBehind(world, group, now)) group.strandedSince = undefined;
+  else group.strandedSince ??= now;
+  return group.strandedSince === undefined ? 0 : now - group.strandedSince;
+}
+
+function areReplicasBehind(world: World, group: GroupRow, now: Millis): boolean {
+  const allowedMs = longestStaleness(world, group);
+  if (allowedMs === undefined) return false;
+  const replicas = [...group.targets.values()].filter(
+    (target) =>
+      target.entry.id !== group.primary &&
+      target.leavingSince === undefined &&
+      target.failingSince === undefined &&
+      isUsable(world, target, now),
+  );
+  return replicas.length > 0 && replicas.every((target) => (target.lag?.ms ?? 0) > allowedMs);
+}
+
+/** The greatest age of data that a route of the group accepts; undefined when none is limited. */
+function longestStaleness(world: World, group: GroupRow): Millis | undefined {
+  let longest: Millis | undefined;
+  for (const route of world.config?.routes.values() ?? []) {
+    if (route.group !== group.id || route.maxStalenessMs === undefined) continue;
+    longest = Math.max(longest ?? 0, route.maxStalenessMs);
+  }
+  return longest;
+}
--- /dev/null
+++ b/packages/direct/src/world.ts
@@ -0,0 +1,37 @@
+import type { Clock, FailureDomain, InstanceId } from '@rosedeck/shared';
+import { createFleet } from './fleet';
+import type { DirectSettings } from './settings';
+import type { Sides, World } from './tables';
+
+/** What an engine is made with. */
+export interface EngineOptions {
+  readonly clock: Clock;
+  readonly settings: DirectSettings;
+  readonly sides: Sides;
+  /** Uniform numbers in [0, 1). */
+  readonly random: () => number;
+  readonly name: InstanceId;
+  readonly failureDomain: FailureDomain;
+}
+
+/** Creates tables without configuration or targets. */
+export function createWorld(options: EngineOptions): World {
+  return {
+    clock: options.clock,
+    settings: options.settings,
+    sides: options.sides,
+    random: options.random,
+    self: { name: options.name, failureDomain: options.failureDomain },
+    groups: new Map(),
+    targets: new Map(),
+    connections: new Map(),
+    sessions: new Map(),
+    running: new Set(),
+    fleet: createFleet(),
+    woken: new Set(),
+    nextConnection: 1,
+    epoch: 0,
+    jumpedAt: -Infinity,
+    lastTickAt: options.clock.now(),
+  };
+}
