--- a/packages/cli/__tests__/cli.spec.ts
+++ b/packages/cli/__tests__/cli.spec.ts
@@ -47,7 +47,7 @@
 
 test('every command has help with an example', async () => {
   const { out } = await run('--help');
-  const paths = ['daemon', 'settings check', 'status', 'drain', 'audit'];
+  const paths = ['daemon', 'settings check', 'platform check', 'status', 'drain', 'audit'];
   for (const name of ['apply', 'get', 'explain', 'history']) paths.push(`config ${name}`);
   for (const name of paths) {
     assert.match(out, name);
@@ -57,6 +57,29 @@
   }
 });
 
+test("the platform's settings file is checked, each fault with key, found and allowed", async () => {
+  const good = {
+    NodeName: 'front-1',
+    Ip: '10.1.0.8',
+    Zone: 'a',
+    Listen: { Front: '10.1.0.8:8784', Ready: '10.1.0.8:8785' },
+    PortRange: [7_440, 7_455],
+    Limits: { MaxFds: 4_200 },
+    Bounds: { GraceS: 6, DrainMs: 7_000 },
+    platform: { Address: '10.200.1.7:8783' },
+  };
+  const passed = await run('platform', 'check', file('good.json', JSON.stringify(good)));
+  assert.is(passed.code, 0);
+  assert.match(passed.out, 'ok, callers at 10.1.0.8:8784');
+  const broken = JSON.stringify({ ...good, PortRange: [9], Zone: 5 });
+  const refused = await run('platform', 'check', file('broken.json', broken));
+  assert.is(refused.code, 2);
+  assert.match(refused.err, 'Zone: found 5, allowed a name');
+  assert.match(refused.err, 'PortRange: found [9], allowed two ports');
+  const missing = await run('platform', 'check', path.join(folder, 'none.json'));
+  assert.is(missing.code, 2);
+});
+
 test('a good settings file passes the check', async () => {
   const { code, out } = await run('settings', 'check', file('good.toml', DAEMON));
   assert.is(code, 0);
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -7,12 +7,14 @@
 } from './configCommands';
 import { DaemonCommand } from './daemonCommand';
 import { AuditCommand, DrainCommand, StatusCommand } from './operatorCommands';
+import { PlatformCheckCommand } from './platformCommands';
 import { SettingsCheckCommand } from './settingsCheckCommand';
 import { VERSION } from './version';
 
 const COMMANDS = [
   DaemonCommand,
   SettingsCheckCommand,
+  PlatformCheckCommand,
   ConfigApplyCommand,
   ConfigGetCommand,
   ConfigExplainCommand,
--- /dev/null
+++ b/packages/cli/src/platformCommands.ts
@@ -0,0 +1,30 @@
+import { readSettings } from '@rosedeck/platform-adapter';
+import { Command, Option } from 'clipanion';
+import { EXIT_CODES } from './exitCodes';
+
+/** Checks the settings file of a daemon on the users' platform. */
+export class PlatformCheckCommand extends Command {
+  static override paths = [['platform', 'check']];
+  static override usage = Command.Usage({
+    description: "Check a daemon's settings file on the users' platform.",
+    examples: [['Check the file of this instance', '$0 platform check /etc/rosedeck/local.json']],
+  });
+
+  file = Option.String({ required: true });
+
+  execute(): Promise<number> {
+    const code = readSettings(this.file).match(
+      (cfg) => {
+        const { host, port } = cfg.callers;
+        this.context.stdout.write(`${this.file}: ok, callers at ${host}:${port}\n`);
+        return EXIT_CODES.ok;
+      },
+      (faults) => {
+        for (const { key, found, allowed } of faults)
+          this.context.stderr.write(`${this.file}: ${key}: found ${found}, allowed ${allowed}\n`);
+        return EXIT_CODES.refused;
+      },
+    );
+    return Promise.resolve(code);
+  }
+}
