--- a/packages/core/__tests__/transactions.spec.ts
+++ b/packages/core/__tests__/transactions.spec.ts
@@ -232,6 +232,24 @@
   assert.is(h.sent('execute').at(-1)?.request, 'w3');
 });
 
+test('a COMMIT on a new session commits nothing of the one before: what was open is rolled back', () => {
+  const h = createHarness();
+  openCaller(h);
+  say(h, 'b', 'begin');
+  h.execute('b', OK);
+  pump(h);
+  const connection = h.sent('execute').at(-1)?.connection ?? 0;
+  h.core.post({ type: 'session_closed', session: 's' });
+  pump(h);
+  openCaller(h);
+  const sent = h.sent('execute').length;
+  say(h, 'c', 'commit');
+  // As at any MySQL server, a COMMIT without a transaction is acknowledged and does nothing.
+  assert.is(callerKind(h, 'c'), 'ok');
+  assert.is(h.sent('execute').length, sent);
+  assert.ok(isClosed(h, connection) || h.sent('reset_connection').length > 0);
+});
+
 test('a BEGIN inside a transaction is refused, and the transaction goes on', () => {
   const h = createHarness();
   openCaller(h);
