--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -51,7 +51,9 @@
   return {
     passed: readFigure(output, 'Passed'),
     total: readFigure(output, 'Total'),
-    failedTests: [...output.matchAll(/^\s*FAIL\s+"(.*)"$/gm)].map((match) => match[1] ?? ''),
+    failedTests: [...output.matchAll(/^\s*FAIL\s+(?:[^"]*\s)?"(.*)"$/gm)].map(
+      (match) => match[1] ?? '',
+    ),
     exitCode,
   };
 }
