--- a/packages/direct/__tests__/load.spec.ts
+++ b/packages/direct/__tests__/load.spec.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { CallerStatement } from '../src/index';
-import { createRandom, createRig, openSession, ROUTES } from './rig';
+import { createRandom, createRig, holdReplicas, openSession, ROUTES } from './rig';
 import type { Rig } from './rig';
 
 /** Arrivals of one kind of statement. */
@@ -115,10 +115,7 @@
 
 test('all replicas fall behind: costly reads give way at the primary, cheap urgent work does not', () => {
   const rig = warmRig();
-  for (const target of rig.targets.slice(1)) {
-    const { applied } = target;
-    Object.defineProperty(target, 'applied', { get: () => applied, set: () => undefined });
-  }
+  holdReplicas(rig, 'applied');
   const streams = [
     { database: 'bookings', perSecond: 30, statement: WRITE },
     { database: 'beats', perSecond: 100, statement: READ },
@@ -133,10 +130,7 @@
 
 test('replicas that are behind are asked seldom, not by every read', () => {
   const rig = warmRig();
-  for (const target of rig.targets.slice(1)) {
-    const { applied } = target;
-    Object.defineProperty(target, 'applied', { get: () => applied, set: () => undefined });
-  }
+  holdReplicas(rig, 'applied');
   const streams = [
     { database: 'bookings', perSecond: 20, statement: WRITE },
     { database: 'loops', perSecond: 60, statement: READ },
@@ -151,10 +145,7 @@
 
 test('the lead moves to a replica that receives but applies late, when reads crowd the primary', () => {
   const rig = warmRig();
-  for (const target of rig.targets.slice(1)) {
-    const { applied } = target;
-    Object.defineProperty(target, 'applied', { get: () => applied, set: () => undefined });
-  }
+  holdReplicas(rig, 'applied');
   const streams = [
     { database: 'bookings', perSecond: 30, statement: WRITE },
     { database: 'beats', perSecond: 250, statement: READ },
@@ -165,11 +156,7 @@
 
 test('the lead stays where it is when the replicas receive nothing', () => {
   const rig = warmRig();
-  for (const target of rig.targets.slice(1)) {
-    const { applied } = target;
-    for (const field of ['applied', 'received'])
-      Object.defineProperty(target, field, { get: () => applied, set: () => undefined });
-  }
+  holdReplicas(rig, 'applied', 'received');
   const streams = [
     { database: 'bookings', perSecond: 30, statement: WRITE },
     { database: 'beats', perSecond: 250, statement: READ },
--- a/packages/direct/__tests__/reads.spec.ts
+++ b/packages/direct/__tests__/reads.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { createRig, openSession } from './rig';
+import { createRig, holdReplicas, openSession } from './rig';
 import type { Rig } from './rig';
 
 /** Index of the target that a successful read ran on. */
@@ -47,11 +47,7 @@
   const rig = warmRig();
   openSession(rig, 'w', 'bookings');
   openSession(rig, 's', 'loops');
-  for (const target of rig.targets.slice(1))
-    Object.defineProperty(target, 'applied', {
-      get: () => ({ term: 1, index: 100 }),
-      set: () => undefined,
-    });
+  holdReplicas(rig, 'applied');
   rig.ask('w', { kind: 'write', text: 'WRITE 1 x' });
   rig.run(2_000);
   for (let at = 0; at < 10; at += 1) {
