--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -139,26 +139,26 @@
   reason: LossReason,
   now: Millis,
 ): void {
-  if (!world.connections.delete(row.id)) return;
-  const { target } = row;
-  target.connections.delete(row);
-  const at = target.idle.indexOf(row);
-  if (at !== -1) target.idle.splice(at, 1);
-  world.sides.closeConnection(row.id);
-  const wasIdle = row.state === 'idle';
+  if (!forgetConnection(world, row)) return;
   noteLoss(world, row, reason, now);
-  world.woken.add(target.group);
-  if (!wasIdle) row.onLost?.(reason);
+  if (row.state !== 'idle') row.onLost?.(reason);
 }
 
 /** Closes a connection on purpose; nothing is concluded about its target. */
 export function dropConnection(world: World, row: ConnectionRow): void {
-  if (!world.connections.delete(row.id)) return;
-  row.target.connections.delete(row);
-  const at = row.target.idle.indexOf(row);
-  if (at !== -1) row.target.idle.splice(at, 1);
+  forgetConnection(world, row);
+}
+
+/** Closes a connection and drops it from all tables; false when that has been done before. */
+function forgetConnection(world: World, row: ConnectionRow): boolean {
+  if (!world.connections.delete(row.id)) return false;
+  const { target } = row;
+  target.connections.delete(row);
+  const at = target.idle.indexOf(row);
+  if (at !== -1) target.idle.splice(at, 1);
   world.sides.closeConnection(row.id);
-  world.woken.add(row.target.group);
+  world.woken.add(target.group);
+  return true;
 }
 
 function noteLoss(world: World, row: ConnectionRow, reason: LossReason, now: Millis): void {
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -1,3 +1,4 @@
+import { covers } from '@rosedeck/shared';
 import type { Millis, Position } from '@rosedeck/shared';
 import { mayOpen, openConnection, takeConnection } from './connections';
 import { executeInTransaction, executeRequest } from './execution';
@@ -6,7 +7,6 @@
 import { chooseReadTarget, roomAt, slownessAt } from './placement';
 import type { PlacementCandidate, Room } from './placement';
 import { findSample, laterOf } from './samples';
-import { covers } from '@rosedeck/shared';
 import type { GroupRow, RequestRow, TargetRow, World } from './tables';
 
 /** Connections to one target that may be on their way at a time: each takes a slot there. */
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -96,12 +96,8 @@
     hasPeers: world.fleet.listed.length > 1,
     ...opinions,
   });
-  if (reason === undefined) {
-    group.reasonSince = undefined;
-    return;
-  }
-  if (group.expected) {
-    // The turns start anew if what is expected does not come.
+  // The turns start anew if an expected primary does not come.
+  if (reason === undefined || group.expected) {
     group.reasonSince = undefined;
     return;
   }
--- a/packages/direct/src/leadProbes.ts
+++ b/packages/direct/src/leadProbes.ts
@@ -1,14 +1,8 @@
 import type { Millis } from '@rosedeck/shared';
-import {
-  loseConnection,
-  mayOpen,
-  openConnection,
-  releaseConnection,
-  sendOps,
-  takeConnection,
-} from './connections';
+import { mayOpen, openConnection, releaseConnection, sendOps, takeConnection } from './connections';
 import { isUsable } from './dispatch';
 import { noteLead, noteNotLeading } from './leadership';
+import { rollbackStep } from './rollback';
 import { isSampler, isScarce } from './sampling';
 import type { GroupRow, TargetRow, World } from './tables';
 
@@ -49,14 +43,7 @@
         else if (reply.code === 'read_only') noteNotLeading(world, target, sent);
       },
     ],
-    [
-      { op: 'rollback' },
-      (reply) => {
-        const at = world.clock.now();
-        if (reply.inTransaction) loseConnection(world, connection, 'protocol', at);
-        else releaseConnection(world, connection, at);
-      },
-    ],
+    rollbackStep(world, connection),
   ]);
 }
 
--- a/packages/direct/src/leadership.ts
+++ b/packages/direct/src/leadership.ts
@@ -22,7 +22,7 @@
     group.expected = undefined;
   }
   if (group.primary !== target.entry.id) setPrimary(world, group, target.entry.id, 'it leads');
-  clearTrouble(group);
+  group.troubledSince = undefined;
 }
 
 /** Takes in that a target has refused work for lack of the lead. */
@@ -80,7 +80,3 @@
 
 /** A target that has just refused the lead is not guessed again at once. */
 const DENIAL_MS: Millis = 150;
-
-function clearTrouble(group: GroupRow): void {
-  group.troubledSince = undefined;
-}
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -249,7 +249,6 @@
   /** When time was last found to have jumped, on the steady clock. */
   jumpedAt: Millis;
   drainingSince?: Millis;
-  lastTickAt: Millis;
 }
 
 /** Weight of the newest sample in a running mean. */
--- a/packages/direct/src/upkeep.ts
+++ b/packages/direct/src/upkeep.ts
@@ -16,7 +16,6 @@
 /** Runs the timed systems once. */
 export function runTick(world: World, hooks: ExecutionHooks): void {
   const now = world.clock.now();
-  world.lastTickAt = now;
   runConnectionUpkeep(world, now);
   for (const row of [...world.running]) reviewRunning(world, hooks, row, now);
   expirePeers(world, now);
--- a/packages/direct/src/world.ts
+++ b/packages/direct/src/world.ts
@@ -32,6 +32,5 @@
     nextConnection: 1,
     epoch: 0,
     jumpedAt: -Infinity,
-    lastTickAt: options.clock.now(),
   };
 }
