fix(standins): a closed session still runs what it received in its transaction

Cause: the stand-in target rolled a transaction back the moment its connection ended, while a statement of it still waited for its slot. That statement then ran without the transaction and committed alone. An owner closes such a connection when the entry daemon of the transaction is gone, as in "a primary and each daemon are stopped and continued": the caller is told that nothing ran, and one row of two is found. The window is the time in the slot, 1 ms in that test, so it showed once beside load.

Ruled out by reading: the load's client (a statement goes out only on the connection that ran BEGIN), the owner (statements run on the connection pinned to their transaction or are refused), the entry.

Change: the rollback waits for the running statement; a COMMIT that was received before the end is carried out, as a server does.

--- a/packages/standins/src/targetSession.ts
+++ b/packages/standins/src/targetSession.ts
@@ -47,6 +47,8 @@
 ): TargetSession {
   let overlay: Overlay | undefined;
   let autoOverlay = createOverlay();
+  let running = 0;
+  let isClosed = false;
   const held = new Set<string>();
 
   const lock = (table: string, key: string): void => {
@@ -153,6 +155,7 @@
   };
 
   const query = (sql: string, params: readonly Param[]): void => {
+    running += 1;
     if (around.networkMs > 0) setTimeout(runInSlot, around.networkMs, sql, params);
     else runInSlot(sql, params);
   };
@@ -161,6 +164,8 @@
     around.takeSlot(() => {
       setTimeout(() => {
         runGuarded(sql, params);
+        running -= 1;
+        if (isClosed && running === 0) rollback();
         around.freeSlot();
       }, around.statementMs);
     });
@@ -177,7 +182,11 @@
       if (known) sendOk(0);
       else connection.sendError(1235, '42000', `the stand-in does not support ${command.type}`);
     },
-    close: rollback,
+    close: () => {
+      // A statement that was received still runs, in the transaction that it was sent in.
+      isClosed = true;
+      if (running === 0) rollback();
+    },
   };
 }
 
