fix(direct): a refusal settles its own try, not the earlier ones

Cause: a refusal that proves a try has not run cleared the mark for the whole request. A read that was sent, lost its connection and was then refused as busy elsewhere was answered as not run, though its first try may have run.

Change: a request counts its open tries; a reply settles one, a lost connection leaves it open. Writes are not sent again after a loss, so their answers stay as they were.

Before: the new test got "overloaded" (not run). After: "read_interrupted"; a read that all targets refused is still told that it has not run.

--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -15,6 +15,8 @@
   refusing: boolean;
   /** Runs statements and loses their answers. */
   losesAnswers: boolean;
+  /** Refuses statements for want of room. */
+  full: boolean;
   runMs: number;
   slots: number;
   busy: number;
@@ -48,6 +50,7 @@
     silent: false,
     refusing: false,
     losesAnswers: false,
+    full: false,
     runMs: 20,
     slots: 3,
     busy: 0,
@@ -134,7 +137,7 @@
 function failed(
   target: FakeTarget,
   link: FakeConnection,
-  code: 'read_only' | 'behind',
+  code: 'read_only' | 'behind' | 'busy',
 ): TargetReply {
   const { inTransaction } = link;
   return { kind: 'failed', code, detail: '', inTransaction, position: target.applied };
@@ -150,6 +153,10 @@
   now: () => number,
   replicate: () => void,
 ): void {
+  if (target.full) {
+    reply(failed(target, link, 'busy'));
+    return;
+  }
   const isCommit = op.text === 'COMMIT';
   const isWrite = op.text.startsWith('WRITE') || op.text.startsWith('EXECUTE write');
   const needsLead = link.inTransaction ? link.plain : isWrite;
--- a/packages/direct/__tests__/reads.spec.ts
+++ b/packages/direct/__tests__/reads.spec.ts
@@ -117,6 +117,34 @@
   for (const read of reads) assert.is(servedBy(rig, read), 't3');
 });
 
+test('a read whose first try was lost is not said to be not run when later tries are refused', () => {
+  const rig = warmRig();
+  openSession(rig, 's', 'beats');
+  for (const target of rig.targets) target.runMs = 100;
+  const read = rig.ask('s', { kind: 'read', text: 'READ 1' });
+  rig.run(60);
+  for (const target of rig.targets) {
+    target.full = true;
+    rig.reset(target);
+  }
+  rig.run(1_200);
+  const answer = rig.answerOf(read)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'read_interrupted');
+  assert.ok(
+    rig.events.some((event) => event.type === 'request_retried' && event.reason === 'busy'),
+  );
+});
+
+test('a read that all targets refused has not run', () => {
+  const rig = warmRig();
+  openSession(rig, 's', 'beats');
+  for (const target of rig.targets) target.full = true;
+  const read = rig.ask('s', { kind: 'read', text: 'READ 1' });
+  rig.run(1_200);
+  const answer = rig.answerOf(read)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'overloaded');
+});
+
 test('a target that was slow is avoided', () => {
   const rig = warmRig();
   const [, slow] = rig.targets;
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -181,7 +181,7 @@
 ): Step {
   const now = world.clock.now();
   row.firstSentAt ??= now;
-  row.mayHaveRun = true;
+  row.openTries += 1;
   return [
     { op: 'run', id: row.id, text: row.text, after },
     (reply, sent) => {
@@ -202,6 +202,7 @@
   const { target } = connection;
   const now = world.clock.now();
   row.running.delete(connection);
+  row.openTries -= 1;
   noteReply(target, reply, now);
   target.doneAt = now;
   if (reply.kind === 'failed') {
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -3,7 +3,7 @@
 import type { Prospects } from './admission';
 import type { Route } from './configuration';
 import { isUsable, mayWrite } from './dispatch';
-import { finishAs } from './setbacks';
+import { finishAs, mayHaveRun } from './setbacks';
 import { othersInFlight } from './fleet';
 import type { ExecutionHooks } from './setbacks';
 import { allowedConnections } from './connections';
@@ -44,7 +44,7 @@
     tried: new Set(),
     tries: 0,
     running: new Set(),
-    mayHaveRun: false,
+    openTries: 0,
     lastSentAt: now,
     notBefore: now,
     lastProblem: '',
@@ -149,7 +149,7 @@
   group.demandAt = now;
   dequeueRequest(row);
   const detail = row.lastProblem === '' ? 'the wait would be too long' : row.lastProblem;
-  if (row.mayHaveRun && row.access === 'read') {
+  if (mayHaveRun(row) && row.access === 'read') {
     finishAs(world, hooks, row, 'read_interrupted', detail);
     return;
   }
--- a/packages/direct/src/setbacks.ts
+++ b/packages/direct/src/setbacks.ts
@@ -23,6 +23,11 @@
 /** Pause before a busy target is asked again. */
 const BUSY_RETRY_MS: Millis = 15;
 
+/** True while a try of the statement may have run without a reply. */
+export function mayHaveRun(row: RequestRow): boolean {
+  return row.openTries > 0;
+}
+
 /** A target has said why it did not do what it was asked. */
 export function handleRefusal(
   world: World,
@@ -42,7 +47,6 @@
   const { transaction } = row;
   const isOpen = transaction?.connection === connection;
   if (isOpen && reply.code === 'busy' && reply.inTransaction && row.stage !== 'done') {
-    row.mayHaveRun = false;
     row.lastProblem = reply.code;
     row.notBefore = now + BUSY_RETRY_MS;
     row.stage = 'queued';
@@ -61,7 +65,6 @@
     return;
   }
   if (row.running.size > 0) return;
-  row.mayHaveRun = false;
   row.lastProblem = reply.code;
   if (isOpen) {
     finishAs(world, hooks, row, 'transaction_lost', `the target said ${reply.code}`);
@@ -106,7 +109,7 @@
     finishAs(world, hooks, row, kind, `the connection to the target ended (${reason})`);
     return;
   }
-  if (row.mayHaveRun && row.access !== 'read') {
+  if (mayHaveRun(row) && row.access !== 'read') {
     finishAs(world, hooks, row, 'outcome_unknown', `the connection ended (${reason})`);
     return;
   }
@@ -145,11 +148,11 @@
   const { transaction } = row;
   if (transaction?.connection) {
     const kind = row.access === 'commit' ? 'outcome_unknown' : 'transaction_lost';
-    finishAs(world, hooks, row, row.mayHaveRun ? kind : 'transaction_lost', detail);
+    finishAs(world, hooks, row, mayHaveRun(row) ? kind : 'transaction_lost', detail);
     return;
   }
   let kind: ErrorKind = 'overloaded';
-  if (row.mayHaveRun) kind = row.access === 'read' ? 'read_interrupted' : 'outcome_unknown';
+  if (mayHaveRun(row)) kind = row.access === 'read' ? 'read_interrupted' : 'outcome_unknown';
   else if (row.needsPrimary && row.group.primaryProvenAt === undefined) kind = 'group_unavailable';
   finishAs(world, hooks, row, kind, detail);
 }
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -217,8 +217,8 @@
   tries: number;
   /** Connections that work on it. */
   readonly running: Set<ConnectionRow>;
-  /** True once the statement itself has been sent and no reply has ruled out that it ran. */
-  mayHaveRun: boolean;
+  /** Sent tries whose outcome no reply has told: running ones, and those whose connection ended. */
+  openTries: number;
   firstSentAt?: Millis;
   lastSentAt: Millis;
   /** When the next try may start. */
