perf(direct,platform): sums of the other daemons' loads are kept, not taken anew

Cause, by reading: each placement summed over the reports of all daemons for each candidate, work that grows with the fleet on the path of every statement (90 daemons, 3 targets, twice per statement: 540 lookups). Not measured apart.

Change: the sums are adjusted with each report and with each daemon that falls silent.

--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -1,10 +1,10 @@
 import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
-import type { FleetRow, PeerReport } from './peerReport';
+import type { FleetRow, PeerReport, TargetLoad } from './peerReport';
 import type { World } from './tables';
 
 /** Creates a fleet without other daemons. */
 export function createFleet(): FleetRow {
-  return { peers: new Map(), listed: [] };
+  return { peers: new Map(), totals: new Map(), listed: [] };
 }
 
 /** Takes in a report. */
@@ -12,10 +12,9 @@
   const { peers } = world.fleet;
   if (report.name === world.self.name) return;
   if (!peers.has(report.name)) world.sides.log({ type: 'peer_heard', peer: report.name });
-  const loads = new Map(
-    report.loads.map(([target, connections, inFlight]) => [target, { connections, inFlight }]),
-  );
-  peers.set(report.name, { report, at: now, loads });
+  addLoads(world.fleet, peers.get(report.name)?.report, -1);
+  addLoads(world.fleet, report, 1);
+  peers.set(report.name, { report, at: now });
 }
 
 /** Forgets daemons that have been silent. */
@@ -23,6 +22,7 @@
   for (const [name, row] of world.fleet.peers) {
     if (now - row.at <= world.settings.peerMs) continue;
     world.fleet.peers.delete(name);
+    addLoads(world.fleet, row.report, -1);
     world.sides.log({ type: 'peer_silent', peer: name });
   }
 }
@@ -43,19 +43,25 @@
 }
 
 /** Sums what was heard, scaled up to the daemons that were not heard. */
-function sumOver(
-  world: World,
-  target: TargetId,
-  field: 'connections' | 'inFlight',
-): number | undefined {
-  const { peers } = world.fleet;
-  if (peers.size === 0) return world.fleet.listed.length > 1 ? undefined : 0;
-  let sum = 0;
-  for (const peer of peers.values()) sum += peer.loads.get(target)?.[field] ?? 0;
+function sumOver(world: World, target: TargetId, field: keyof TargetLoad): number | undefined {
+  const { peers, totals, listed } = world.fleet;
+  if (peers.size === 0) return listed.length > 1 ? undefined : 0;
+  const sum = totals.get(target)?.[field] ?? 0;
   const others = daemonCount(world) - 1;
   return (sum * others) / peers.size;
 }
 
+function addLoads(fleet: FleetRow, report: PeerReport | undefined, sign: 1 | -1): void {
+  for (const [target, connections, inFlight] of report?.loads ?? []) {
+    const total = fleet.totals.get(target) ?? { connections: 0, inFlight: 0 };
+    total.connections += sign * connections;
+    // Fractions do not always add up to zero again.
+    total.inFlight = Math.max(0, total.inFlight + sign * inFlight);
+    if (total.connections === 0) fleet.totals.delete(target);
+    else fleet.totals.set(target, total);
+  }
+}
+
 /** What the other daemons say of a group's primary. */
 export interface Opinions {
   /** Daemons that cannot reach the primary that is asked about. */
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -27,11 +27,16 @@
   readonly loads: readonly (readonly [TargetId, number, number])[];
 }
 
+/** Connections and statements in flight at one target. */
+export interface TargetLoad {
+  connections: number;
+  inFlight: number;
+}
+
 /** Another daemon, as its last report shows it. */
 export interface PeerRow {
-  report: PeerReport;
-  at: Millis;
-  loads: ReadonlyMap<TargetId, { readonly connections: number; readonly inFlight: number }>;
+  readonly report: PeerReport;
+  readonly at: Millis;
 }
 
 /** A daemon in the platform's directory. */
@@ -43,6 +48,8 @@
 /** What this daemon knows of the others. */
 export interface FleetRow {
   readonly peers: Map<InstanceId, PeerRow>;
+  /** What the peers' reports add up to: dispatch asks for it once per target and statement. */
+  readonly totals: Map<TargetId, TargetLoad>;
   /** Daemons that the platform's directory shows, this one included. */
   listed: readonly ListedDaemon[];
 }
