--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -10,7 +10,7 @@
 export type { DirectEvent } from './notes';
 export * from './placement';
 export * from './samples';
-export { samplerOf } from './sampling';
+export { samplerOf, spreadHash } from './sampling';
 export * from './settings';
 export * from './statements';
 export type { ConnectionId, Sides, World } from './tables';
