fix(direct): a statement that waits for room in its transaction is always answered

When the connection ended in that time, the loss was noted at the transaction alone, and the tick returned before it looked at the deadline: the caller got nothing.

Change: the loss ends the waiting statement as a lost transaction; the deadline is looked at first.

Before: the new test got no answer. After: transaction_lost.

--- a/packages/direct/__tests__/transactions.spec.ts
+++ b/packages/direct/__tests__/transactions.spec.ts
@@ -174,4 +174,23 @@
   assert.is(rig.engine.world.config?.routes.size, 3);
 });
 
+test('a statement that waits for room in its transaction is answered when its connection ends', () => {
+  const rig = createRig();
+  rig.run(300);
+  openSession(rig, 's', 'bookings');
+  rig.ask('s', { kind: 'begin', readOnly: false });
+  rig.ask('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(100);
+  const [primary] = rig.targets;
+  if (!primary) throw new Error('no primary');
+  primary.full = true;
+  const write = rig.ask('s', { kind: 'write', text: 'WRITE 2 x' });
+  rig.run(4);
+  assert.is(rig.answerOf(write), undefined);
+  rig.reset(primary);
+  rig.run(100);
+  const answer = rig.answerOf(write)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'transaction_lost');
+});
+
 test.run();
--- a/packages/direct/src/setbacks.ts
+++ b/packages/direct/src/setbacks.ts
@@ -99,7 +99,11 @@
   const isOpen = transaction?.connection === connection;
   if (isOpen) transaction.connection = undefined;
   if (row.stage === 'done' || !wasRunning) {
-    if (isOpen) transaction.lost = `the connection to the target ended (${reason})`;
+    if (!isOpen) return;
+    const detail = `the connection to the target ended (${reason})`;
+    transaction.lost = detail;
+    // A statement that a busy target has turned away waits for this connection alone.
+    if (row.stage === 'queued') finishAs(world, hooks, row, 'transaction_lost', detail);
     return;
   }
   if (row.running.size > 0) return;
--- a/packages/direct/src/upkeep.ts
+++ b/packages/direct/src/upkeep.ts
@@ -32,14 +32,14 @@
 }
 
 function reviewRunning(world: World, hooks: ExecutionHooks, row: RequestRow, now: Millis): void {
-  if (row.stage === 'queued') {
-    resumeInTransaction(world, hooks, row);
-    return;
-  }
   if (now >= row.deadlineAt) {
     expireRunning(world, hooks, row);
     return;
   }
+  if (row.stage === 'queued') {
+    resumeInTransaction(world, hooks, row);
+    return;
+  }
   if (row.access !== 'read' || row.transaction || row.needsPrimary || row.running.size !== 1)
     return;
   const { settings } = world;
