refactor: packages/platform becomes packages/clients

Two folders were called platform: the adapter to the users' platform, and the clients of the MySQL deployment's store, list and group control. The JSON client that both use stays where it was.

--- a/packages/bench/__tests__/operations.spec.ts
+++ b/packages/bench/__tests__/operations.spec.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import mysql from 'mysql2/promise';
-import { createJsonClient } from '@rosedeck/platform';
+import { createJsonClient } from '@rosedeck/clients';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { OPERATOR_TOKEN, startCluster } from '../src/cluster';
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -4,7 +4,7 @@
 import type { CoreSettings } from '@rosedeck/core';
 import { entryKey } from '@rosedeck/daemon';
 import type { Tree } from '@rosedeck/daemon';
-import { createJsonClient } from '@rosedeck/platform';
+import { createJsonClient } from '@rosedeck/clients';
 import type { Millis } from '@rosedeck/shared';
 import type { TargetFault, TargetOptions } from '@rosedeck/standins';
 import { stringify } from 'smol-toml';
--- a/packages/cli/src/configCommands.ts
+++ b/packages/cli/src/configCommands.ts
@@ -2,7 +2,7 @@
 import type { ConfigEntry } from '@rosedeck/core';
 import { checkTree, formatFaults, readToml } from '@rosedeck/daemon';
 import type { ExplainedSetting } from '@rosedeck/daemon';
-import type { JsonReply } from '@rosedeck/platform';
+import type { JsonReply } from '@rosedeck/clients';
 import { Command, Option } from 'clipanion';
 import { stringify } from 'smol-toml';
 import { EXIT_CODES } from './exitCodes';
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -1,5 +1,5 @@
-import { createJsonClient } from '@rosedeck/platform';
-import type { JsonReply } from '@rosedeck/platform';
+import { createJsonClient } from '@rosedeck/clients';
+import type { JsonReply } from '@rosedeck/clients';
 import { Command, Option } from 'clipanion';
 import { EXIT_CODES } from './exitCodes';
 
--- a/packages/platform/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -1,4 +1,4 @@
-/** Thin clients of the platform: its store, its instance list, its control of targets. */
+/** JSON over HTTP, and thin clients of the MySQL deployment: store, instance list, control of targets. */
 export * from './groupControl';
 export * from './httpJson';
 export * from './instanceList';
--- a/packages/daemon/__tests__/auditLog.spec.ts
+++ b/packages/daemon/__tests__/auditLog.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { Store, StoredValue } from '@rosedeck/platform';
+import type { Store, StoredValue } from '@rosedeck/clients';
 import { createAuditLog } from '../src/auditLog';
 import type { AuditRecord } from '../src/auditLog';
 import { createLogger } from '../src/logs';
--- a/packages/daemon/src/auditLog.ts
+++ b/packages/daemon/src/auditLog.ts
@@ -1,5 +1,5 @@
 import type { JsonObject } from '@rosedeck/core';
-import type { Store } from '@rosedeck/platform';
+import type { Store } from '@rosedeck/clients';
 import type { Millis } from '@rosedeck/shared';
 
 /** One accepted or refused change. */
--- a/packages/daemon/src/configSide.ts
+++ b/packages/daemon/src/configSide.ts
@@ -13,7 +13,7 @@
   SpreadPorts,
   SpreadResult,
 } from '@rosedeck/core';
-import type { ByteCounter } from '@rosedeck/platform';
+import type { ByteCounter } from '@rosedeck/clients';
 import type { Clock, InstanceId, Millis } from '@rosedeck/shared';
 import { SNAPSHOT_EVERY } from './configStore';
 import type { ConfigStore } from './configStore';
--- a/packages/daemon/src/configStore.ts
+++ b/packages/daemon/src/configStore.ts
@@ -1,5 +1,5 @@
 import type { ConfigEntry, ConfigSnapshot, Revision, WatchResult } from '@rosedeck/core';
-import type { Store } from '@rosedeck/platform';
+import type { Store } from '@rosedeck/clients';
 import type { Millis } from '@rosedeck/shared';
 
 /** The change log in the platform's store. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { DEFAULT_CORE_SETTINGS, createCore, isConfigStale } from '@rosedeck/core';
 import type { Command, Core, CoreSettings, Note, Policies } from '@rosedeck/core';
-import { createStore } from '@rosedeck/platform';
+import { createStore } from '@rosedeck/clients';
 import { createSystemClock } from '@rosedeck/shared';
 import type { Clock, InstanceId } from '@rosedeck/shared';
 import { createAuditLog } from './auditLog';
--- a/packages/daemon/src/platformSide.ts
+++ b/packages/daemon/src/platformSide.ts
@@ -1,7 +1,7 @@
 import type { Command, CoreEvent } from '@rosedeck/core';
 import type { GroupId, InstanceId, Millis } from '@rosedeck/shared';
-import { createInstanceList } from '@rosedeck/platform';
-import type { ByteCounter, InstanceList, Store, StoredValue } from '@rosedeck/platform';
+import { createInstanceList } from '@rosedeck/clients';
+import type { ByteCounter, InstanceList, Store, StoredValue } from '@rosedeck/clients';
 
 /** Carries out the commands that concern the platform, and watches it. */
 export interface PlatformSide {
--- a/packages/daemon/src/targetSide.ts
+++ b/packages/daemon/src/targetSide.ts
@@ -11,8 +11,8 @@
 import type { GroupId, InstanceId, TargetId } from '@rosedeck/shared';
 import { openTargetConnection } from '@rosedeck/mysql';
 import type { OpenError, TargetConnection } from '@rosedeck/mysql';
-import { createGroupControl } from '@rosedeck/platform';
-import type { GroupControl } from '@rosedeck/platform';
+import { createGroupControl } from '@rosedeck/clients';
+import type { GroupControl } from '@rosedeck/clients';
 
 /** Credentials of a group's targets. */
 export interface TargetLogin {
--- a/packages/standins/src/httpServer.ts
+++ b/packages/standins/src/httpServer.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import { readJson } from '@rosedeck/platform';
+import { readJson } from '@rosedeck/clients';
 
 /** One JSON request to a stand-in. */
 export interface JsonRequest {
--- a/packages/standins/src/listServer.ts
+++ b/packages/standins/src/listServer.ts
@@ -1,6 +1,6 @@
 import type { ListedInstance, ListedTarget } from '@rosedeck/core';
 import type { Millis } from '@rosedeck/shared';
-import type { ListState } from '@rosedeck/platform';
+import type { ListState } from '@rosedeck/clients';
 import { startJsonServer } from './httpServer';
 import type { JsonAnswer, JsonRequest, JsonServer } from './httpServer';
 import { waitForChange } from './storeServer';
--- a/packages/standins/src/replicator.ts
+++ b/packages/standins/src/replicator.ts
@@ -1,6 +1,6 @@
 import type { Clock, Millis } from '@rosedeck/shared';
-import { createJsonClient } from '@rosedeck/platform';
-import type { JsonClient } from '@rosedeck/platform';
+import { createJsonClient } from '@rosedeck/clients';
+import type { JsonClient } from '@rosedeck/clients';
 import { lastPosition, positionAt } from './replicationLog';
 import type { AppendMessage, AppendReply, Target } from './target';
 
--- a/scripts/checkLayers.ts
+++ b/scripts/checkLayers.ts
@@ -8,14 +8,14 @@
   'packages/shared': [],
   'packages/core': ['shared'],
   'packages/direct': ['shared'],
-  'packages/platform': ['core', 'shared'],
+  'packages/clients': ['core', 'shared'],
   'packages/peer': ['core', 'shared'],
   'packages/mysql': ['core', 'shared'],
-  'packages/daemon': ['mysql', 'peer', 'platform', 'core', 'shared'],
-  'packages/cli': ['daemon', 'platform', 'core', 'shared', 'platform-adapter'],
-  'packages/standins': ['mysql', 'platform', 'core', 'shared'],
-  'packages/bench': ['cli', 'standins', 'daemon', 'mysql', 'peer', 'platform', 'core', 'shared'],
-  [ADAPTER]: ['direct', 'platform', 'shared'],
+  'packages/daemon': ['mysql', 'peer', 'clients', 'core', 'shared'],
+  'packages/cli': ['daemon', 'clients', 'core', 'shared', 'platform-adapter'],
+  'packages/standins': ['mysql', 'clients', 'core', 'shared'],
+  'packages/bench': ['cli', 'standins', 'daemon', 'mysql', 'peer', 'clients', 'core', 'shared'],
+  [ADAPTER]: ['direct', 'clients', 'shared'],
 };
 
 const IMPORT = /from '@rosedeck\/([^']+)'/g;
