--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -21,22 +21,13 @@
   connection: ConnectionRow,
   after: Position | undefined,
 ): void {
-  const now = world.clock.now();
-  row.stage = 'running';
-  row.tries += 1;
-  row.running.add(connection);
+  startTry(world, hooks, row, connection);
   row.tried.add(connection.target.entry.id);
-  row.lastSentAt = now;
-  row.target = connection.target.entry.id;
-  world.running.add(row);
-  connection.onLost = (reason) => {
-    handleLoss(world, hooks, row, connection, reason);
-  };
   if (row.transaction || (row.needsPrimary && row.access === 'read')) {
     beginFirst(world, hooks, row, connection, after);
     return;
   }
-  const isStale = now - connection.lastReplyAt > world.settings.checkIdleMs;
+  const isStale = row.lastSentAt - connection.lastReplyAt > world.settings.checkIdleMs;
   if (row.access === 'write' && isStale) {
     checkFirst(world, hooks, row, connection);
     return;
@@ -54,20 +45,28 @@
   row: RequestRow,
   connection: ConnectionRow,
 ): void {
-  const now = world.clock.now();
+  startTry(world, hooks, row, connection);
+  sendOps(world, connection, [
+    ...setupSteps(world, row, connection),
+    runStep(world, hooks, row, connection, undefined, false),
+  ]);
+}
+
+function startTry(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  connection: ConnectionRow,
+): void {
   row.stage = 'running';
   row.tries += 1;
   row.running.add(connection);
-  row.lastSentAt = now;
+  row.lastSentAt = world.clock.now();
   row.target = connection.target.entry.id;
   world.running.add(row);
   connection.onLost = (reason) => {
     handleLoss(world, hooks, row, connection, reason);
   };
-  sendOps(world, connection, [
-    ...setupSteps(world, row, connection),
-    runStep(world, hooks, row, connection, undefined, false),
-  ]);
 }
 
 /** A connection that was idle for long may be dead; a write must not be risked on it. */
