feat(direct,platform): fence for platforms whose promotions carry none

Cause: where the platform does not fence, the old primary leads on after a promotion.

Change: a claim names the next term and is announced to every daemon before the order; the order waits until the old primary has stepped down, every daemon has confirmed, or a quorum of witnesses has and the leases of the rest are over. A daemon uses a primary only while it hears a quorum of witnesses or has read the claims, and only in the newest term, which the target's status shows. Commits whose primary was replaced meanwhile have an unknown outcome. Claims are checked before each order.

--- a/packages/cli/__tests__/cli.spec.ts
+++ b/packages/cli/__tests__/cli.spec.ts
@@ -65,7 +65,7 @@
     Listen: { Front: '10.1.0.8:8784', Ready: '10.1.0.8:8785' },
     PortRange: [7_440, 7_455],
     Limits: { MaxFds: 4_200 },
-    Bounds: { GraceS: 6, DrainMs: 7_000 },
+    Bounds: { GraceS: 6, DrainMs: 7_000, FencingRequired: true },
     platform: { Address: '10.200.1.7:8783' },
   };
   const passed = await run('platform', 'check', writeFile('good.json', JSON.stringify(valid)));
--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -115,9 +115,10 @@
   }
   if (op.op === 'set') connection.variables.set(op.name, op.value);
   if (op.op === 'prepare') connection.prepared.add(op.name);
+  if (op.op === 'stepDown' && target.term < op.term) target.role = 'replica';
   const status = { role: target.role, term: target.term, received: target.received };
   const answer = doneReply(target, connection);
-  reply(op.op === 'status' ? { ...answer, status } : answer);
+  reply(op.op === 'status' || op.op === 'stepDown' ? { ...answer, status } : answer);
 }
 
 function doneReply(
--- /dev/null
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -0,0 +1,265 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { isCurrent, mayOrder, orderProgress, supersedes } from '../src/index';
+import type { GroupLeadership, OrderInputs } from '../src/index';
+import { witnessesOf } from '../src/fencing';
+import { createRig, openSession } from './rig';
+import type { Rig } from './rig';
+
+const OTHERS = ['d2', 'd3', 'd4', 'd5'];
+
+/** Reports of the other daemons, at least as often as a lease needs. */
+function hearOthers(rig: Rig, names: readonly string[], ms: number): void {
+  for (let at = 0; at < ms; at += 100) {
+    for (const name of names)
+      rig.engine.applyPeer({
+        name,
+        config: 1,
+        view: 1,
+        opinions: [],
+        loads: [],
+        leaderships: [],
+      });
+    rig.run(100);
+  }
+}
+
+/** A daemon of a fleet of five whose platform does not fence old primaries. */
+function createUnfencedRig(): Rig {
+  const rig = createRig({ promotionsFenced: false });
+  rig.engine.applyDirectory(['d1', ...OTHERS].map((name) => ({ name, failureDomain: 'a' })));
+  hearOthers(rig, OTHERS, 400);
+  openSession(rig, 's', 'bookings');
+  openSession(rig, 'r', 'loops');
+  return rig;
+}
+
+function claim(term: number, target: string, token = 50): GroupLeadership {
+  return { group: 'g', term, token, target };
+}
+
+/** Submits a write and returns its outcome after `ms`; undefined while it has no answer. */
+function writeOutcome(rig: Rig, ms = 60): string | undefined {
+  const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  hearOthers(rig, OTHERS, ms);
+  const answer = rig.answerOf(id)?.answer;
+  return answer?.kind === 'failed' ? answer.failure.kind : answer?.kind;
+}
+
+test('writes reach a proven primary while the witnesses are heard', () => {
+  assert.is(writeOutcome(createUnfencedRig()), 'done');
+});
+
+test('a claim ends the use of the old primary and tells it to step down', () => {
+  const rig = createUnfencedRig();
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  const index = rig.targets[0]?.received.index;
+  assert.is.not(writeOutcome(rig), 'done');
+  assert.is(rig.targets[0]?.received.index, index);
+  assert.is(rig.targets[0]?.role, 'replica');
+});
+
+test('a claim that another daemon reports has the same effect', () => {
+  const rig = createUnfencedRig();
+  rig.engine.applyPeer({
+    name: 'd2',
+    config: 1,
+    view: 1,
+    opinions: [],
+    loads: [],
+    leaderships: [claim(2, 't2')],
+  });
+  assert.is.not(writeOutcome(rig), 'done');
+});
+
+test('a daemon that hears neither witnesses nor the store stops using the primary', () => {
+  const rig = createUnfencedRig();
+  rig.run(800);
+  const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(300);
+  assert.is(rig.targets[0]?.executed.length, 0);
+  const answer = rig.answerOf(id)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'group_unavailable');
+});
+
+test('a daemon that hears no witnesses uses the primary while it reads the claims', () => {
+  const rig = createUnfencedRig();
+  rig.run(800);
+  assert.ok(rig.engine.needsClaims());
+  rig.engine.claimsRead(rig.now());
+  rig.run(200);
+  const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(60);
+  assert.is(rig.answerOf(id)?.answer.kind, 'done');
+});
+
+test('a minority of a split does not use the old primary', () => {
+  const rig = createUnfencedRig();
+  hearOthers(rig, ['d2'], 900);
+  const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  hearOthers(rig, ['d2'], 200);
+  assert.is.not(rig.answerOf(id)?.answer.kind, 'done');
+  assert.is(rig.targets[0]?.executed.length, 0);
+});
+
+test('a commit that the old primary acknowledges after a claim has an unknown outcome', () => {
+  const rig = createUnfencedRig();
+  if (rig.targets[0]) rig.targets[0].runMs = 200;
+  const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(50);
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  hearOthers(rig, OTHERS, 400);
+  const answer = rig.answerOf(id)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'outcome_unknown');
+});
+
+test('a read that the old primary serves after a claim is not answered from there', () => {
+  const rig = createUnfencedRig();
+  if (rig.targets[0]) rig.targets[0].runMs = 100;
+  const id = rig.submit('s', { kind: 'read', text: 'READ 1' });
+  rig.run(50);
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  rig.run(70);
+  const answer = rig.answerOf(id)?.answer;
+  assert.is.not(answer?.kind, 'done');
+});
+
+test('an open transaction at the old primary is ended at its next statement', () => {
+  const rig = createUnfencedRig();
+  rig.submit('s', { kind: 'begin', readOnly: false });
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  hearOthers(rig, OTHERS, 100);
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  const commit = rig.submit('s', { kind: 'commit', text: 'COMMIT' });
+  rig.run(1);
+  const answer = rig.answerOf(commit)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'transaction_lost');
+});
+
+test('the old primary is not believed again, also after a restart that reads the claim', () => {
+  const rig = createUnfencedRig();
+  const [old, next] = rig.targets;
+  if (!old || !next) throw new Error('no targets');
+  rig.promoteUnfenced(next);
+  old.term = 1;
+  const restarted = createRig({ promotionsFenced: false });
+  restarted.engine.leadershipsSeen([claim(2, 't2')]);
+  restarted.engine.applyDirectory(['d1', ...OTHERS].map((name) => ({ name, failureDomain: 'a' })));
+  hearOthers(restarted, OTHERS, 600);
+  assert.is(restarted.engine.world.groups.get('g')?.primaryProvenAt, undefined);
+});
+
+test('the claimed primary is used once it proves the next term', () => {
+  const rig = createUnfencedRig();
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  hearOthers(rig, OTHERS, 300);
+  if (rig.targets[1]) rig.promoteUnfenced(rig.targets[1]);
+  hearOthers(rig, OTHERS, 300);
+  assert.is(writeOutcome(rig), 'done');
+  assert.is(rig.engine.world.groups.get('g')?.primary, 't2');
+});
+
+test('a primary that is promoted again is used in its new term', () => {
+  const rig = createUnfencedRig();
+  rig.engine.leadershipsSeen([claim(3, 't1')]);
+  hearOthers(rig, OTHERS, 200);
+  assert.is.not(writeOutcome(rig), 'done');
+  if (rig.targets[0]) rig.targets[0].term = 3;
+  hearOthers(rig, OTHERS, 300);
+  assert.is(writeOutcome(rig), 'done');
+});
+
+test('a claim whose order never took effect is followed by another promotion', () => {
+  const rig = createUnfencedRig();
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  hearOthers(rig, OTHERS, 5_500);
+  assert.is(rig.promotions.length, 1);
+  assert.is(rig.promotionTerms[0], 2);
+});
+
+test('the promotion of a lost primary names a term above all that are known', () => {
+  const rig = createUnfencedRig();
+  const [old, second] = rig.targets;
+  if (!old || !second) throw new Error('no targets');
+  second.term = 4;
+  old.refusing = true;
+  old.silent = true;
+  rig.reset(old);
+  hearOthers(rig, OTHERS, 6_000);
+  assert.is(rig.promotionTerms[0], 5);
+});
+
+test('lagging replicas cause no promotion where it costs a time without a primary', () => {
+  const events = [true, false].map((promotionsFenced) => {
+    const rig = createRig({ promotionsFenced });
+    rig.engine.applyDirectory([{ name: 'd1', failureDomain: 'a' }]);
+    rig.run(400);
+    const group = rig.engine.world.groups.get('g');
+    if (!group) throw new Error('no group');
+    for (let at = 0; at < 2_000; at += 25) {
+      group.lastShortageAt = rig.now();
+      for (const id of ['t2', 't3']) {
+        const target = rig.engine.world.targets.get(id);
+        if (target) target.lag = { ms: 5_000, at: rig.now() };
+      }
+      rig.run(25);
+    }
+    return rig.events.filter((event) => event.type === 'promotion_started').length;
+  });
+  assert.ok((events[0] ?? 0) > 0);
+  assert.is(events[1], 0);
+});
+
+test('a leadership supersedes those of lower terms, and of older claims to its own term', () => {
+  assert.ok(supersedes(claim(2, 'a', 1), undefined));
+  assert.ok(supersedes(claim(3, 'a', 1), claim(2, 'b', 9)));
+  assert.ok(supersedes(claim(2, 'a', 9), claim(2, 'b', 1)));
+  assert.not.ok(supersedes(claim(2, 'a', 1), claim(2, 'b', 9)));
+});
+
+test('only the claimed target may lead the claimed term', () => {
+  assert.ok(isCurrent(claim(2, 'a'), 2, 'a'));
+  assert.not.ok(isCurrent(claim(2, 'a'), 2, 'b'));
+  assert.not.ok(isCurrent(claim(2, 'a'), 1, 'a'));
+  assert.ok(isCurrent(claim(2, 'a'), 3, 'b'));
+});
+
+const ORDER: OrderInputs = {
+  steppedDown: false,
+  daemons: 8,
+  confirmed: 1,
+  witnesses: 8,
+  confirmedWitnesses: 1,
+  sinceQuorumMs: 0,
+  fenceWaitMs: 500,
+};
+
+test('a promotion is ordered once nobody can acknowledge a write of the old primary', () => {
+  assert.not.ok(mayOrder(ORDER));
+  assert.ok(mayOrder({ ...ORDER, steppedDown: true }));
+  assert.ok(mayOrder({ ...ORDER, confirmed: 8, confirmedWitnesses: 8 }));
+  const quorum = { ...ORDER, confirmed: 5, confirmedWitnesses: 5 };
+  assert.not.ok(mayOrder({ ...quorum, sinceQuorumMs: 400 }));
+  assert.ok(mayOrder({ ...quorum, sinceQuorumMs: 500 }));
+  const minority = { ...ORDER, confirmed: 4, confirmedWitnesses: 4, sinceQuorumMs: 9_000 };
+  assert.not.ok(mayOrder(minority));
+});
+
+test('the progress of an order counts the daemons of the directory', () => {
+  const rig = createUnfencedRig();
+  const progress = orderProgress(rig.engine.world, 'g', new Set(['d2', 'unlisted']));
+  assert.is(progress.daemons, 5);
+  assert.is(progress.confirmed, 2);
+});
+
+test('a large fleet has nine witnesses, the same ones for all its daemons', () => {
+  const daemons = Array.from({ length: 90 }, (_, at) => ({ name: `d${at}`, failureDomain: 'a' }));
+  const names = witnessesOf(daemons).map(({ name }) => name);
+  assert.is(names.length, 9);
+  assert.equal(
+    witnessesOf(daemons.toReversed()).map(({ name }) => name),
+    names,
+  );
+});
+
+test.run();
--- a/packages/direct/__tests__/fleet.spec.ts
+++ b/packages/direct/__tests__/fleet.spec.ts
@@ -10,6 +10,7 @@
   view: 1,
   opinions: [],
   loads,
+  leaderships: [],
 });
 
 test('a new report of a daemon replaces its last one', () => {
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -38,6 +38,8 @@
   readonly answers: ReceivedAnswer[];
   readonly events: DirectLogEvent[];
   readonly promotions: { readonly group: string; readonly target: string }[];
+  /** Terms of the promotions, in the same order. */
+  readonly promotionTerms: number[];
   readonly closedSessions: string[];
   /** Requests for samples to other daemons. */
   readonly sampleRequests: {
@@ -58,6 +60,8 @@
   connectionsAt: (target: string) => number;
   /** Makes a target the primary of the next term, with all that it has received. */
   promote: (target: FakeTarget) => void;
+  /** As `promote`, but the old primary continues to lead its own term; no entry is added. */
+  promoteUnfenced: (target: FakeTarget) => void;
   /** Closes every connection to a target, as a reset. */
   reset: (target: FakeTarget) => void;
 }
@@ -103,6 +107,7 @@
   const answers: ReceivedAnswer[] = [];
   const events: DirectLogEvent[] = [];
   const promotions: { group: string; target: string }[] = [];
+  const promotionTerms: number[] = [];
   const closedSessions: string[] = [];
   const sampleRequests: { peer: string; groups: readonly string[]; askedAt: number }[] = [];
 
@@ -189,7 +194,10 @@
         answers.push({ session, request, answer, state, at: clock.now() });
       },
       closeSession: (session) => closedSessions.push(session),
-      promote: (group, target) => promotions.push({ group, target }),
+      promote: (group, target, term) => {
+        promotions.push({ group, target });
+        promotionTerms.push(term);
+      },
       requestSamples: (peer, groups, askedAt) => sampleRequests.push({ peer, groups, askedAt }),
       wakeAfter: (ms) => {
         schedule(ms, () => {
@@ -206,6 +214,7 @@
     answers,
     events,
     promotions,
+    promotionTerms,
     closedSessions,
     sampleRequests,
     now: clock.now,
@@ -247,6 +256,11 @@
       target.applied = target.received;
       replicate(target);
     },
+    promoteUnfenced: (target) => {
+      target.term = Math.max(...targets.map((one) => one.term)) + 1;
+      target.role = 'primary';
+      target.applied = target.received;
+    },
     reset: (target) => {
       for (const [id, connection] of [...connections]) {
         if (connection.target !== target) continue;
--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -100,6 +100,7 @@
     view: 1,
     opinions: [],
     loads: [['t1', held, 0]],
+    leaderships: [],
   });
   rig.engine.applyPeer(report(17));
   openSession(rig, 's', 'bookings');
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -2,6 +2,7 @@
 import type { Millis, Position } from '@rosedeck/shared';
 import { mayOpen, openConnection, takeConnection } from './connections';
 import { executeInTransaction, executeRequest } from './execution';
+import { mayUsePrimary } from './fencing';
 import type { ExecutionHooks } from './requestFailures';
 import { othersInFlight } from './fleet';
 import { chooseReadTarget, checkCapacity, latencyRatioAt } from './placement';
@@ -106,6 +107,7 @@
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   if (!primary || !isUsable(world, primary, now)) return undefined;
   if (group.contested && mayWrite(row)) return undefined;
+  if (!mayUsePrimary(world, group, now)) return undefined;
   if (!hasCapacity(world, primary, now)) return undefined;
   if (primary.idle.length > 0) return primary;
   wanted.set(primary, (wanted.get(primary) ?? 0) + 1);
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -3,9 +3,10 @@
 import { applyReply, loseConnection, handleOpened } from './connections';
 import { runDispatch } from './dispatch';
 import type { ExecutionHooks } from './requestFailures';
+import { applyLeaderships, hearsQuorum, witnessesOf } from './fencing';
 import { applyPromotionEnd, expectPrimary } from './failover';
 import { applyPeerReport } from './fleet';
-import type { ListedDaemon, PeerReport, PeerSample } from './peerReport';
+import type { GroupLeadership, ListedDaemon, PeerReport, PeerSample } from './peerReport';
 import type { PromotionResult } from './promotionTypes';
 import { createReport } from './ownReport';
 import { enqueueRequest, shedLateRequests } from './requests';
@@ -41,6 +42,12 @@
   closeSession: (session: SessionId) => void;
   /** A claim in the store names the target as the group's next primary. */
   claimSeen: (group: GroupId, target: TargetId) => void;
+  /** Applies leaderships that claims or another daemon name; the older primaries get no work. */
+  leadershipsSeen: (leaderships: readonly GroupLeadership[]) => void;
+  /** All claims in the store have been applied, as read at `sentAt` or later. */
+  claimsRead: (sentAt: Millis) => void;
+  /** True when the store has to be read for claims, as too few witnesses are heard. */
+  needsClaims: () => boolean;
   promotionEnded: (group: GroupId, result: PromotionResult) => void;
   /** The process was suspended or the time of day was set: recorded times may be wrong. */
   timeJumped: (byMs: Millis) => void;
@@ -97,9 +104,12 @@
     },
     applyDirectory: (daemons) => {
       world.fleet.listed = daemons;
+      world.fleet.witnesses = witnessesOf(daemons);
     },
     applyPeer: (report) => {
       applyPeerReport(world, report, clock.now());
+      applyLeaderships(world, report.leaderships);
+      dispatchPending();
     },
     connectionOpened: (id) => {
       withConnection(id, (row, now) => {
@@ -132,6 +142,16 @@
       if (group) expectPrimary(world, group, target, clock.now());
       dispatchPending();
     },
+    leadershipsSeen: (leaderships) => {
+      applyLeaderships(world, leaderships);
+      dispatchPending();
+    },
+    claimsRead: (sentAt) => {
+      if (sentAt <= world.timeJumpedAt) return;
+      world.claimsReadAt = Math.max(world.claimsReadAt, sentAt);
+      dispatchPending();
+    },
+    needsClaims: () => !world.settings.promotionsFenced && !hearsQuorum(world, clock.now()),
     promotionEnded: (id, result) => {
       const group = world.groups.get(id);
       if (group) applyPromotionEnd(world, group, result, clock.now());
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -10,10 +10,11 @@
 import { rollBack, rollbackStep } from './rollback';
 import type { Step } from './rollback';
 import { laterOf } from './sampleHistory';
-import { handleLoss, handleRefusal } from './requestFailures';
+import { isTrusted } from './fencing';
+import { failRequest, handleLoss, handleRefusal, handleReplacedPrimary } from './requestFailures';
 import type { ExecutionHooks } from './requestFailures';
 import type { TargetOp, TargetReply } from './statements';
-import type { ConnectionRow, RequestRow, SentOp, World } from './tables';
+import type { ConnectionRow, RequestRow, SentOp, TargetRow, World } from './tables';
 
 /**
  * Runs a request on a connection. A read that must see every commit is wrapped in a transaction of
@@ -52,12 +53,23 @@
   connection: ConnectionRow,
 ): void {
   startTry(world, hooks, row, connection);
+  if (row.transaction?.readOnly === false && !isStillPrimary(world, connection.target)) {
+    row.running.delete(connection);
+    failRequest(world, hooks, row, 'transaction_lost', 'the primary has been replaced');
+    return;
+  }
   sendOps(world, connection, [
     ...setupSteps(world, row, connection),
     runStep(world, hooks, row, connection, undefined, false),
   ]);
 }
 
+/** False when the target was the primary and may have been replaced since. */
+function isStillPrimary(world: World, target: TargetRow): boolean {
+  const { group } = target;
+  return isTrusted(world, group, target.listed.id, target.ledTerm ?? 0, world.clock.now());
+}
+
 function startTry(
   world: World,
   hooks: ExecutionHooks,
@@ -196,6 +208,13 @@
   ];
 }
 
+/** True when the answer is only right if the target led when it ran the statement. */
+function needsLeader(row: RequestRow, isWrapped: boolean): boolean {
+  const { transaction } = row;
+  if (row.access === 'commit') return transaction?.wrote === true;
+  return transaction ? !transaction.readOnly : isWrapped || row.access === 'write';
+}
+
 function applyRunReply(
   world: World,
   hooks: ExecutionHooks,
@@ -217,6 +236,11 @@
   }
   recordRunTime(world, row, target, now - sent.sentAt);
   const { transaction } = row;
+  if (needsLeader(row, isWrapped) && !isStillPrimary(world, target)) {
+    if (row.stage !== 'done') handleReplacedPrimary(world, hooks, row, connection, isWrapped);
+    else if (!isWrapped) releaseAfterReply(world, connection, reply.inTransaction);
+    return;
+  }
   const provesPrimary = row.access === 'write' || (transaction ? !transaction.readOnly : isWrapped);
   if (provesPrimary && !(row.access === 'commit' && transaction?.wrote === false))
     recordPrimaryProof(world, target, reply.position, sent);
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,8 +1,10 @@
 import { formatPosition, positionOrd } from '@rosedeck/shared';
 import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './dispatch';
+import { driveStepDown } from './fencing';
 import { countOpinions } from './fleet';
 import type { Opinions } from './fleet';
+import { isCurrent } from './leadership';
 import { probeTargets, requestStatus } from './primaryProbes';
 import { reviewPrimary } from './primaryTracking';
 import { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
@@ -26,6 +28,7 @@
   reviewPrimary(world, group);
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   detectPrimaryFailure(world, group, primary, now);
+  driveStepDown(world, group, now);
   probeTargets(world, group, primary, now);
   if (
     group.expectedPrimary &&
@@ -53,7 +56,7 @@
     primary !== undefined && failingMs >= limitMs && primary.failures > 1
       ? primary.listed.id
       : undefined;
-  if (!primary || primary.failingSince !== undefined)
+  if (!primary || primary.failingSince !== undefined || isOutdated(group))
     group.primaryDownSince ??= primary?.failingSince ?? now;
   else group.primaryDownSince = undefined;
   if (suspected === group.suspectedPrimary) return;
@@ -91,12 +94,15 @@
   const opinions = countOpinions(world, group.id, primary?.listed.id, now);
   trackContested(world, group, opinions);
   const reason = findPromotionReason({
-    known: primary !== undefined,
+    known: primary !== undefined && !isOutdated(group),
     leaving: primary?.leavingSince !== undefined,
     unlisted: primary?.unlistedSince !== undefined,
     suspected: group.suspectedPrimary !== undefined,
     primaryDownMs: group.primaryDownSince === undefined ? 0 : now - group.primaryDownSince,
-    replicasLaggingMs: trackLaggingReplicas(world, group, now),
+    // Without a fence a promotion leaves the group without a primary for a time, and may cost commits.
+    replicasLaggingMs: world.settings.promotionsFenced
+      ? trackLaggingReplicas(world, group, now)
+      : 0,
     hasPeers: world.fleet.listed.length > 1,
     ...opinions,
   });
@@ -134,7 +140,8 @@
     return;
   }
   const candidates = [...group.targets.values()]
-    .filter((target) => target.listed.id !== group.primary && isUsable(world, target, now))
+    .filter((target) => target.listed.id !== group.primary || isOutdated(group))
+    .filter((target) => isUsable(world, target, now))
     .filter((target) => now - target.rejectedAt > REJECTED_MS)
     .map((target) => describeCandidate(target, promotion));
   const isComplete = candidates.every((one) => one.answered || one.failing);
@@ -155,7 +162,18 @@
     received: choice.received ? formatPosition(choice.received) : 'unknown',
     surveyed: candidates.filter((one) => one.answered).length,
   });
-  world.io.promote(group.id, choice.id);
+  world.io.promote(group.id, choice.id, nextTerm(group));
+}
+
+/** True when a newer leadership than that of the known primary has been claimed. */
+function isOutdated(group: GroupRow): boolean {
+  return !isCurrent(group.newest, group.leaderTerm, group.primary);
+}
+
+/** The term of the next primary, as far as known here. */
+function nextTerm(group: GroupRow): number {
+  const reported = [...group.targets.values()].map(({ status }) => status?.report.term ?? 0);
+  return Math.max(group.leaderTerm, ...reported) + 1;
 }
 
 /** A target that reports to be the primary of a later term: this daemon has missed a promotion. */
--- /dev/null
+++ b/packages/direct/src/fencing.ts
@@ -0,0 +1,170 @@
+import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
+import { mayOpen, openConnection, releaseConnection, sendOps, takeConnection } from './connections';
+import { isCurrent, quorumOf, supersedes } from './leadership';
+import type { Leadership } from './leadership';
+import type { GroupLeadership, ListedDaemon } from './peerReport';
+import { fnv1aHash } from './sampling';
+import type { GroupRow, TargetRow, World } from './tables';
+
+/** Witnesses of a large fleet; all daemons are witnesses of a fleet of at most this size. */
+const MAX_WITNESSES = 9;
+
+/** Interval at which a replaced primary is told to step down until it confirms. */
+const STEP_DOWN_RETRY_MS: Millis = 100;
+
+/** A primary that has not confirmed its step-down by then is unreachable. */
+const STEP_DOWN_LIMIT_MS: Millis = 5_000;
+
+/** The daemons whose reports show the others that no newer claim stands. */
+export function witnessesOf(daemons: readonly ListedDaemon[]): readonly ListedDaemon[] {
+  if (daemons.length <= MAX_WITNESSES) return daemons;
+  const ranked = daemons.map((daemon) => ({ daemon, hash: fnv1aHash(daemon.name) }));
+  ranked.sort((a, b) => a.hash - b.hash);
+  return ranked.slice(0, MAX_WITNESSES).map(({ daemon }) => daemon);
+}
+
+/** True when this daemon's reports go to every other daemon. */
+export function isWitness(world: World): boolean {
+  return world.fleet.witnesses.some(({ name }) => name === world.self.name);
+}
+
+/** True when most witnesses have reported within the time of a lease, this daemon included. */
+export function hearsQuorum(world: World, now: Millis): boolean {
+  const { witnesses, peers } = world.fleet;
+  if (witnesses.length === 0) return false;
+  const heard = witnesses.filter(({ name }) => {
+    if (name === world.self.name) return true;
+    return now - (peers.get(name)?.at ?? -Infinity) < world.settings.leadershipLeaseMs;
+  });
+  return heard.length >= quorumOf(witnesses.length);
+}
+
+/**
+ * True while this daemon would have learned of a newer claim: from a quorum of witnesses, or from
+ * the store, which a claim reaches before its promotion is ordered.
+ */
+export function hasLease(world: World, now: Millis): boolean {
+  if (now - world.claimsReadAt < world.settings.leadershipLeaseMs) return true;
+  return hearsQuorum(world, now);
+}
+
+/**
+ * Whether a target that proves to lead in `term` can be trusted. Where promotions are fenced by the
+ * platform the proof is enough; elsewhere an older primary continues after a promotion.
+ */
+export function isTrusted(
+  world: World,
+  group: GroupRow,
+  target: TargetId,
+  term: number,
+  now: Millis,
+): boolean {
+  if (world.settings.promotionsFenced) return true;
+  return isCurrent(group.newest, term, target) && hasLease(world, now);
+}
+
+/** True when the group's primary may be sent work. */
+export function mayUsePrimary(world: World, group: GroupRow, now: Millis): boolean {
+  if (world.settings.promotionsFenced) return true;
+  if (group.primary === undefined || group.primaryProvenAt === undefined) return false;
+  return isTrusted(world, group, group.primary, group.leaderTerm, now);
+}
+
+/** Records a leadership, unless a newer one is known; the primary of an older one gets no work. */
+export function recordLeadership(world: World, group: GroupRow, leadership: Leadership): void {
+  if (world.settings.promotionsFenced || !supersedes(leadership, group.newest)) return;
+  group.newest = leadership;
+  if (isCurrent(leadership, group.leaderTerm, group.primary)) return;
+  world.io.log({
+    type: 'primary_fenced',
+    group: group.id,
+    primary: group.primary,
+    term: group.leaderTerm,
+    next: leadership.target,
+    nextTerm: leadership.term,
+    token: leadership.token,
+  });
+  group.primaryProvenAt = undefined;
+  group.replaced =
+    group.primary === undefined || group.primary === leadership.target
+      ? undefined
+      : { target: group.primary, since: world.clock.now(), askedAt: -Infinity, confirmed: false };
+  world.groupsToDispatch.add(group);
+  driveStepDown(world, group, world.clock.now());
+}
+
+/** Tells the replaced primary of a group to step down, until it confirms or the time is over. */
+export function driveStepDown(world: World, group: GroupRow, now: Millis): void {
+  const { replaced, newest } = group;
+  if (!replaced || !newest || replaced.confirmed) return;
+  if (now - replaced.since > STEP_DOWN_LIMIT_MS) {
+    group.replaced = undefined;
+    return;
+  }
+  const target = group.targets.get(replaced.target);
+  if (!target || now - replaced.askedAt < STEP_DOWN_RETRY_MS) return;
+  if (sendStepDown(world, target, newest.term, now)) replaced.askedAt = now;
+}
+
+function sendStepDown(world: World, target: TargetRow, term: number, now: Millis): boolean {
+  const connection = takeConnection(target, now, new Map());
+  if (!connection) {
+    if (mayOpen(world, target, now)) openConnection(world, target, now);
+    return false;
+  }
+  sendOps(world, connection, [
+    [
+      { op: 'stepDown', term },
+      (reply) => {
+        const { group } = target;
+        const stopped = reply.kind === 'done' && reply.status?.role === 'replica';
+        if (stopped && group.replaced?.target === target.listed.id) group.replaced.confirmed = true;
+        if (stopped)
+          world.io.log({ type: 'primary_stepped_down', group: group.id, target: target.listed.id });
+        releaseConnection(world, connection, world.clock.now());
+      },
+    ],
+  ]);
+  return true;
+}
+
+/** The newest leadership of each group, for the other daemons. */
+export function listLeaderships(world: World): GroupLeadership[] {
+  if (world.settings.promotionsFenced) return [];
+  return [...world.groups.values()].flatMap(({ id, newest }) =>
+    newest === undefined ? [] : [{ group: id, ...newest }],
+  );
+}
+
+/** Applies the leaderships that another daemon or a claim in the store names. */
+export function applyLeaderships(world: World, leaderships: readonly GroupLeadership[]): void {
+  for (const { group: id, ...leadership } of leaderships) {
+    const group = world.groups.get(id);
+    if (group) recordLeadership(world, group, leadership);
+  }
+}
+
+/** Progress of a claimed promotion towards its order; `confirmedBy`: daemons that know the claim. */
+export function orderProgress(
+  world: World,
+  group: GroupId,
+  confirmedBy: ReadonlySet<InstanceId>,
+): {
+  steppedDown: boolean;
+  daemons: number;
+  confirmed: number;
+  witnesses: number;
+  confirmedWitnesses: number;
+} {
+  const { listed, witnesses } = world.fleet;
+  const isConfirmed = ({ name }: ListedDaemon): boolean =>
+    name === world.self.name || confirmedBy.has(name);
+  const replaced = world.groups.get(group)?.replaced;
+  return {
+    steppedDown: replaced?.confirmed === true,
+    daemons: listed.length,
+    confirmed: listed.filter(isConfirmed).length,
+    witnesses: witnesses.length,
+    confirmedWitnesses: witnesses.filter(isConfirmed).length,
+  };
+}
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -4,7 +4,7 @@
 
 /** Creates the tables of a fleet without other daemons. */
 export function createFleet(): FleetRow {
-  return { peers: new Map(), totals: new Map(), listed: [] };
+  return { peers: new Map(), totals: new Map(), listed: [], witnesses: [] };
 }
 
 /** Applies another daemon's report, which replaces its previous one. */
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -5,7 +5,15 @@
 export * from './engine';
 export { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 export type { PrimaryHealth, PromotionCandidate } from './promotionPolicy';
-export type { ListedDaemon, PeerReport, PrimaryOpinion, PeerSample } from './peerReport';
+export type {
+  GroupLeadership,
+  ListedDaemon,
+  PeerReport,
+  PeerSample,
+  PrimaryOpinion,
+} from './peerReport';
+export { isWitness, orderProgress } from './fencing';
+export * from './leadership';
 export type { PromotionReason, PromotionResult } from './promotionTypes';
 export type { DirectLogEvent } from './logEvents';
 export * from './placement';
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -74,6 +74,17 @@
       /** Time for which every request to the target has failed or gone unanswered. */
       readonly silentMs: Millis;
     }
+  | {
+      readonly type: 'primary_fenced';
+      readonly group: GroupId;
+      /** The primary that gets no more work. */
+      readonly primary?: TargetId;
+      readonly term: number;
+      readonly next: TargetId;
+      readonly nextTerm: number;
+      readonly token: number;
+    }
+  | { readonly type: 'primary_stepped_down'; readonly group: GroupId; readonly target: TargetId }
   | {
       readonly type: 'primary_contested';
       readonly group: GroupId;
--- a/packages/direct/src/ownReport.ts
+++ b/packages/direct/src/ownReport.ts
@@ -1,4 +1,5 @@
 import type { GroupId, TargetId } from '@rosedeck/shared';
+import { listLeaderships } from './fencing';
 import type { PeerReport } from './peerReport';
 import type { World } from './tables';
 
@@ -27,5 +28,6 @@
     view,
     opinions,
     loads,
+    leaderships: listLeaderships(world),
   };
 }
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -6,6 +6,7 @@
   Position,
   TargetId,
 } from '@rosedeck/shared';
+import type { Leadership } from './leadership';
 
 /** A daemon's opinion of a group's primary. */
 export interface PrimaryOpinion {
@@ -25,6 +26,13 @@
   readonly opinions: readonly PrimaryOpinion[];
   /** Per target: open connections and statements in flight. */
   readonly loads: readonly (readonly [TargetId, number, number])[];
+  /** Newest leaderships, where the platform does not fence promotions; else empty. */
+  readonly leaderships: readonly GroupLeadership[];
+}
+
+/** The newest leadership of a group, as one daemon tells it to another. */
+export interface GroupLeadership extends Leadership {
+  readonly group: GroupId;
 }
 
 /** Connections and statements in flight at one target. */
@@ -53,6 +61,8 @@
   readonly totals: Map<TargetId, TargetLoad>;
   /** Daemons in the platform's directory, this one included. */
   listed: readonly ListedDaemon[];
+  /** Those of them whose reports go to every daemon; see `witnessesOf`. */
+  witnesses: readonly ListedDaemon[];
 }
 
 /** A position sample of a primary, as one daemon sends it to another. */
--- a/packages/direct/src/primaryProbes.ts
+++ b/packages/direct/src/primaryProbes.ts
@@ -1,10 +1,11 @@
 import type { Millis } from '@rosedeck/shared';
 import { mayOpen, openConnection, releaseConnection, sendOps, takeConnection } from './connections';
 import { isUsable } from './dispatch';
-import { recordPrimaryProof, recordNotPrimary } from './primaryTracking';
+import { isCurrent } from './leadership';
+import { recordNotPrimary, recordPrimaryProof, recordStatus } from './primaryTracking';
 import { rollbackStep } from './rollback';
 import { isSampler, isScarce } from './sampling';
-import type { GroupRow, TargetRow, World } from './tables';
+import type { ConnectionRow, GroupRow, TargetRow, World } from './tables';
 
 /**
  * Probes for proof of the primary: the primary itself when its last proof is old, all targets when
@@ -38,6 +39,10 @@
     return;
   }
   target.probedAt = now;
+  if (!world.settings.promotionsFenced && isTermUnknown(target)) {
+    sendStatus(world, target, connection);
+    return;
+  }
   sendOps(world, connection, [
     [
       { op: 'begin', readOnly: false },
@@ -52,6 +57,11 @@
 
 const NO_VARIABLES: ReadonlyMap<string, string> = new Map();
 
+/** True when only a status can show whether the target leads the newest term. */
+function isTermUnknown({ group, ledTerm, listed }: TargetRow): boolean {
+  return ledTerm === undefined || !isCurrent(group.newest, ledTerm, listed.id);
+}
+
 /** Requests the status of a replica if a connection to it is idle; else opens one. */
 export function requestStatus(world: World, target: TargetRow, now: Millis): void {
   if (target.listed.id === target.group.primary) return;
@@ -60,13 +70,16 @@
     if (mayOpen(world, target, now)) openConnection(world, target, now);
     return;
   }
+  sendStatus(world, target, connection);
+}
+
+function sendStatus(world: World, target: TargetRow, connection: ConnectionRow): void {
   sendOps(world, connection, [
     [
       { op: 'status' },
-      (reply) => {
-        const at = world.clock.now();
-        if (reply.kind === 'done' && reply.status) target.status = { report: reply.status, at };
-        releaseConnection(world, connection, at);
+      (reply, sent) => {
+        recordStatus(world, target, reply, sent);
+        releaseConnection(world, connection, world.clock.now());
       },
     ],
   ]);
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -1,5 +1,7 @@
 import type { Millis, Position, TargetId } from '@rosedeck/shared';
+import { isTrusted, recordLeadership } from './fencing';
 import { addSample } from './sampleHistory';
+import type { TargetReply } from './statements';
 import type { GroupRow, SentOp, TargetRow, World } from './tables';
 import { updateAverage } from './tables';
 
@@ -12,6 +14,7 @@
 ): void {
   if (!position || sent.epoch !== world.epoch) return;
   const { group } = target;
+  if (!recordLead(world, target, position)) return;
   if (position.term < group.term) return;
   if (sent.sentAt < target.notPrimaryAt && position.term === group.term) return;
   group.term = position.term;
@@ -25,10 +28,48 @@
   group.primaryDownSince = undefined;
 }
 
+/**
+ * Records the term in which a target leads, where promotions are not fenced; false when it may have
+ * been replaced. A log's last entry may be of an older term than the one in which its target leads.
+ */
+function recordLead(world: World, target: TargetRow, position: Position): boolean {
+  if (world.settings.promotionsFenced) return true;
+  const { group, ledTerm } = target;
+  const id = target.listed.id;
+  if (ledTerm === undefined || !isTrusted(world, group, id, ledTerm, world.clock.now()))
+    return false;
+  if (ledTerm <= group.leaderTerm) return true;
+  // The new primary's log may lack entries that samples of the old one cover.
+  group.leaderTerm = ledTerm;
+  group.samples.length = 0;
+  group.term = position.term;
+  recordLeadership(world, group, { term: ledTerm, token: 0, target: id });
+  return true;
+}
+
+/** Records the status that a target reports of itself. */
+export function recordStatus(
+  world: World,
+  target: TargetRow,
+  reply: TargetReply,
+  sent: SentOp,
+): void {
+  if (reply.kind !== 'done' || !reply.status) return;
+  target.status = { report: reply.status, at: world.clock.now() };
+  if (world.settings.promotionsFenced) return;
+  if (reply.status.role !== 'primary') {
+    target.ledTerm = undefined;
+    return;
+  }
+  target.ledTerm = reply.status.term;
+  recordPrimaryProof(world, target, reply.position, sent);
+}
+
 /** Records that a target refused an operation because it is not the primary. */
 export function recordNotPrimary(world: World, target: TargetRow, sent: SentOp): void {
   const { group } = target;
   target.notPrimaryAt = world.clock.now();
+  target.ledTerm = undefined;
   if (group.primary !== target.listed.id) return;
   if (group.primaryProvenAt !== undefined && sent.sentAt < group.primaryProvenAt) return;
   setPrimary(world, group, guessPrimary(world, group), 'it reports that it is not the primary');
--- a/packages/direct/src/requestFailures.ts
+++ b/packages/direct/src/requestFailures.ts
@@ -86,6 +86,29 @@
   else releaseConnection(world, connection, world.clock.now());
 }
 
+/**
+ * Handles a success of a target that may have been replaced as the primary before it ran the
+ * statement: a commit there may be discarded, and a read may miss commits of the new primary.
+ */
+export function handleReplacedPrimary(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  connection: ConnectionRow,
+  isWrapped: boolean,
+): void {
+  const { transaction } = row;
+  const detail = 'the primary was replaced while the statement ran';
+  const isPinned = transaction?.connection === connection;
+  if (isPinned) transaction.connection = undefined;
+  if (!isWrapped) loseConnection(world, connection, 'closed', world.clock.now());
+  row.lastError = 'primary replaced';
+  if (row.access === 'commit' || (row.access === 'write' && !transaction))
+    failRequest(world, hooks, row, 'outcome_unknown', detail);
+  else if (transaction) failRequest(world, hooks, row, 'transaction_lost', detail);
+  else if (row.running.size === 0) retry(world, hooks, row, 'primary replaced', connection.target);
+}
+
 /** Handles the end of a connection that a request uses. */
 export function handleLoss(
   world: World,
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -24,6 +24,12 @@
   readonly sampleIdleMs: Millis;
   /** Subtracted from the allowed age of data; covers the resolution of the clocks. */
   readonly stalenessMarginMs: Millis;
+  /** The platform ends the lead of the old primary at a promotion and checks fencing tokens. */
+  readonly promotionsFenced: boolean;
+  /** Without a fence: time for which a daemon uses a primary after it was told of no newer claim. */
+  readonly leadershipLeaseMs: Millis;
+  /** Without a fence: wait before an order, for the leases of daemons that missed its claim. */
+  readonly fenceWaitMs: Millis;
   /** Silence after which a primary is suspected. */
   readonly suspectSilentMs: Millis;
   /** Time after which a primary that refuses connections is suspected. */
@@ -85,6 +91,9 @@
   sampleEveryMs: 350,
   sampleIdleMs: 10_000,
   stalenessMarginMs: 60,
+  promotionsFenced: true,
+  leadershipLeaseMs: 700,
+  fenceWaitMs: 500,
   suspectSilentMs: 700,
   suspectRefusedMs: 150,
   opinionMaxAgeMs: 1_200,
--- a/packages/direct/src/statements.ts
+++ b/packages/direct/src/statements.ts
@@ -27,6 +27,8 @@
 export type TargetOp =
   | { readonly op: 'begin'; readonly readOnly: boolean; readonly after?: Position }
   | { readonly op: 'rollback' | 'discard' | 'status' }
+  /** Makes a primary of a lower term a replica. */
+  | { readonly op: 'stepDown'; readonly term: number }
   | { readonly op: 'set'; readonly name: string; readonly value: string }
   | {
       readonly op: 'prepare';
@@ -65,7 +67,7 @@
       readonly inTransaction: boolean;
       /** Position that the target has applied; absent when the reply carries none. */
       readonly position?: Position;
-      /** Set for `status`. */
+      /** Set for `status` and `stepDown`. */
       readonly status?: TargetStatus;
     }
   | {
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -11,6 +11,7 @@
 } from '@rosedeck/shared';
 import type { DirectConfig, ListedTarget, Route } from './configuration';
 import type { DirectLogEvent } from './logEvents';
+import type { Leadership } from './leadership';
 import type { FleetRow } from './peerReport';
 import type { Promotion } from './promotionTypes';
 import type { LatencyRating } from './placement';
@@ -44,8 +45,11 @@
   ) => void;
   /** Closes a caller's session that has no request outstanding. */
   closeSession: (session: SessionId) => void;
-  /** Claims the promotion of a target and orders it; the result arrives as `promotionEnded`. */
-  promote: (group: GroupId, target: TargetId) => void;
+  /**
+   * Claims the promotion of a target to the primary of `term` and orders it; the result arrives as
+   * `promotionEnded`.
+   */
+  promote: (group: GroupId, target: TargetId, term: number) => void;
   /** Requests samples from another daemon; a reply, if any, arrives as `samplesReceived`. */
   requestSamples: (peer: InstanceId, groups: readonly GroupId[], askedAt: Millis) => void;
   /** Requests a call of `wake` after a time; an earlier call does no harm. */
@@ -105,6 +109,8 @@
   applied?: Position;
   /** Replication lag of the target at its last reply with a position. */
   lag?: { readonly ms: Millis; readonly at: Millis };
+  /** Term in which the target reported to lead, where the platform does not fence promotions. */
+  ledTerm?: number;
   /** When the target last replied that it is not the primary. */
   notPrimaryAt: Millis;
   status?: { readonly report: TargetStatus; readonly at: Millis };
@@ -126,6 +132,15 @@
   value: number;
 }
 
+/** A primary that is told to step down. */
+export interface ReplacedPrimary {
+  readonly target: TargetId;
+  readonly since: Millis;
+  /** When it was last told. */
+  askedAt: Millis;
+  confirmed: boolean;
+}
+
 /** A database group that the configuration routes to. */
 export interface GroupRow {
   readonly id: GroupId;
@@ -134,8 +149,14 @@
   primary?: TargetId;
   /** Sending time of the operation whose reply last proved the primary; undefined: unconfirmed. */
   primaryProvenAt?: Millis;
-  /** Highest term in which a primary was proven. */
+  /** Highest term of a proven primary's log. */
   term: number;
+  /** Term in which the primary was last proven to lead, where the platform does not fence promotions. */
+  leaderTerm: number;
+  /** Newest known leadership, where the platform does not fence promotions. */
+  newest?: Leadership;
+  /** The primary that a newer claim replaces, until it has stepped down. */
+  replaced?: ReplacedPrimary;
   readonly samples: SampleHistory;
   readonly queue: RequestRow[];
   lastRequestAt: Millis;
@@ -256,6 +277,8 @@
   /** Monotonic time at which a time jump was last detected. */
   timeJumpedAt: Millis;
   drainingSince?: Millis;
+  /** When the last complete read of the claims in the store was sent. */
+  claimsReadAt: Millis;
 }
 
 /** Weight of the newest sample in a moving average. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -29,6 +29,7 @@
     connectionLimit,
     targets: new Map(),
     term: 0,
+    leaderTerm: 0,
     samples: [],
     queue: [],
     lastRequestAt: world.clock.now(),
@@ -125,6 +126,7 @@
     group.promotionReasonSince = undefined;
     group.expectedPrimary = undefined;
   }
+  world.claimsReadAt = -Infinity;
   for (const target of world.targets.values()) target.failingSince = undefined;
   world.fleet.peers.clear();
   world.io.log({ type: 'time_jumped', byMs: Math.round(byMs) });
--- a/packages/direct/src/world.ts
+++ b/packages/direct/src/world.ts
@@ -32,5 +32,6 @@
     nextConnectionId: 1,
     epoch: 0,
     timeJumpedAt: -Infinity,
+    claimsReadAt: -Infinity,
   };
 }
