feat(direct,platform): two watchers of the store in each failure domain of a large fleet

Cause: each write of a target ends the watches of all daemons; at 195 daemons that is about 97 calls a second, the largest price of the large site. A tick also hashed the names of the whole directory once for each group: 484 us at 195 daemons and 14 groups, half of a daemon's processor time.

Samplers are worked out once a directory; known library for the hash.

--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -18,6 +18,7 @@
         view: 1,
         opinions: [],
         loads: [],
+        storeAgeMs: 0,
         leaderships: [],
       });
     rig.run(100);
@@ -67,6 +68,7 @@
     view: 1,
     opinions: [],
     loads: [],
+    storeAgeMs: 0,
     leaderships: [claim(2, 't2')],
   });
   assert.is.not(writeOutcome(rig), 'done');
--- a/packages/direct/__tests__/fleet.spec.ts
+++ b/packages/direct/__tests__/fleet.spec.ts
@@ -10,6 +10,7 @@
   view: 1,
   opinions: [],
   loads,
+  storeAgeMs: 0,
   leaderships: [],
 });
 
--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -100,6 +100,7 @@
     view: 1,
     opinions: [],
     loads: [['t1', held, 0]],
+    storeAgeMs: 0,
     leaderships: [],
   });
   rig.engine.applyPeer(report(17));
@@ -114,4 +115,34 @@
   assert.ok(count >= 1 && count <= 9, `${count} connections`);
 });
 
+test('a new directory names new samplers', () => {
+  const rig = createRig({}, 5);
+  rig.engine.applyDirectory(DAEMONS);
+  rig.run(100);
+  const first = samplerOf(DAEMONS, 'g', 'a');
+  const rest = DAEMONS.filter(({ name }) => name !== first);
+  rig.engine.applyDirectory(rest);
+  openSession(rig, 's', 'loops');
+  rig.submit('s', { kind: 'read', text: 'READ 1' });
+  rig.run(1_000);
+  assert.is(rig.sampleRequests.at(-1)?.peer, samplerOf(rest, 'g', 'a'));
+});
+
+test('a tick reads the directory of a large fleet only after it has changed', () => {
+  let reads = 0;
+  const daemons = Array.from({ length: 195 }, (_, at) => ({
+    name: `d${at}`,
+    get failureDomain() {
+      reads += 1;
+      return 'a';
+    },
+  }));
+  const rig = createRig({}, 5);
+  rig.engine.applyDirectory(daemons);
+  rig.run(100);
+  reads = 0;
+  rig.run(1_000);
+  assert.is(reads, 0);
+});
+
 test.run();
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -16,6 +16,7 @@
 import type { ConnectionId, World } from './tables';
 import { applyConfig, applyTargets, hasTargetsForRoutes, resetAfterTimeJump } from './targetList';
 import { effectiveDrainAcceptMs, runTick } from './tick';
+import { watchersOf } from './watchers';
 import { createWorld } from './world';
 import type { EngineOptions } from './world';
 
@@ -64,8 +65,8 @@
   samplesReceived: (samples: readonly PeerSample[], askedAt: Millis) => void;
   /** True when every configured group that a route uses has a target. */
   hasTargetsForRoutes: () => boolean;
-  /** Creates this daemon's report for the others; `view` is the store revision of its view. */
-  report: (view: number) => PeerReport;
+  /** Creates this daemon's report for the others; `view` and `storeAgeMs` are those of its view. */
+  report: (view: number, storeAgeMs: Millis) => PeerReport;
 }
 
 /** Creates an engine without configuration or targets. */
@@ -105,6 +106,8 @@
     applyDirectory: (daemons) => {
       world.fleet.listed = daemons;
       world.fleet.witnesses = witnessesOf(daemons);
+      world.fleet.watchers = watchersOf(daemons);
+      world.fleet.samplers.clear();
     },
     applyPeer: (report) => {
       applyPeerReport(world, report, clock.now());
@@ -183,6 +186,6 @@
       dispatchPending();
     },
     hasTargetsForRoutes: () => hasTargetsForRoutes(world),
-    report: (view) => createReport(world, view),
+    report: (view, storeAgeMs) => createReport(world, view, storeAgeMs),
   };
 }
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -1,9 +1,9 @@
+import murmurhash from 'murmurhash';
 import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
 import { mayOpen, openConnection, releaseConnection, sendOps, takeConnection } from './connections';
 import { isCurrent, quorumOf, supersedes } from './leadership';
 import type { Leadership } from './leadership';
 import type { GroupLeadership, ListedDaemon } from './peerReport';
-import { fnv1aHash } from './sampling';
 import type { GroupRow, TargetRow, World } from './tables';
 
 /** Witnesses of a large fleet; all daemons are witnesses of a fleet of at most this size. */
@@ -18,7 +18,7 @@
 /** The daemons whose reports show the others that no newer claim stands. */
 export function witnessesOf(daemons: readonly ListedDaemon[]): readonly ListedDaemon[] {
   if (daemons.length <= MAX_WITNESSES) return daemons;
-  const ranked = daemons.map((daemon) => ({ daemon, hash: fnv1aHash(daemon.name) }));
+  const ranked = daemons.map((daemon) => ({ daemon, hash: murmurhash.v3(daemon.name) }));
   ranked.sort((a, b) => a.hash - b.hash);
   return ranked.slice(0, MAX_WITNESSES).map(({ daemon }) => daemon);
 }
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -4,7 +4,14 @@
 
 /** Creates the tables of a fleet without other daemons. */
 export function createFleet(): FleetRow {
-  return { peers: new Map(), totals: new Map(), listed: [], witnesses: [] };
+  return {
+    peers: new Map(),
+    totals: new Map(),
+    listed: [],
+    witnesses: [],
+    watchers: new Set(),
+    samplers: new Map(),
+  };
 }
 
 /** Applies another daemon's report, which replaces its previous one. */
--- a/packages/direct/src/ownReport.ts
+++ b/packages/direct/src/ownReport.ts
@@ -1,10 +1,10 @@
-import type { GroupId, TargetId } from '@rosedeck/shared';
+import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
 import { listLeaderships } from './fencing';
 import type { PeerReport } from './peerReport';
 import type { World } from './tables';
 
-/** Creates this daemon's report for the others; `view` is the store revision of its view. */
-export function createReport(world: World, view: number): PeerReport {
+/** Creates this daemon's report for the others; `view` and `storeAgeMs` are those of its view. */
+export function createReport(world: World, view: number, storeAgeMs: Millis): PeerReport {
   const now = world.clock.now();
   const opinions: { group: GroupId; target: TargetId; reachable: boolean }[] = [];
   for (const group of world.groups.values()) {
@@ -26,6 +26,7 @@
     name: world.self.name,
     config: world.config?.version ?? 0,
     view,
+    storeAgeMs: Math.round(storeAgeMs),
     opinions,
     loads,
     leaderships: listLeaderships(world),
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -23,6 +23,8 @@
   readonly config: number;
   /** Highest store revision among the listed targets and the configuration. */
   readonly view: number;
+  /** Age of the newest contact of any daemon with the store, as far as known. */
+  readonly storeAgeMs: Millis;
   readonly opinions: readonly PrimaryOpinion[];
   /** Per target: open connections and statements in flight. */
   readonly loads: readonly (readonly [TargetId, number, number])[];
@@ -63,6 +65,10 @@
   listed: readonly ListedDaemon[];
   /** Those of them whose reports go to every daemon; see `witnessesOf`. */
   witnesses: readonly ListedDaemon[];
+  /** Those of them that watch the store; see `watchersOf`. */
+  watchers: ReadonlySet<InstanceId>;
+  /** Samplers of the groups in this failure domain, as far as worked out for `listed`. */
+  readonly samplers: Map<GroupId, InstanceId | undefined>;
 }
 
 /** A position sample of a primary, as one daemon sends it to another. */
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -1,7 +1,7 @@
+import murmurhash from 'murmurhash';
 import { positionOrd } from '@rosedeck/shared';
 import type { GroupId, InstanceId, Millis, Position, TargetId } from '@rosedeck/shared';
 import type { PromotionReason } from './promotionTypes';
-import { fnv1aHash } from './sampling';
 
 /** Inputs of the decision whether a group needs a promotion. */
 export interface PrimaryHealth {
@@ -105,7 +105,7 @@
   group: GroupId,
   staggerMs: Millis,
 ): Millis {
-  const own = fnv1aHash(`${group}/${self}`);
-  const rank = others.filter((name) => fnv1aHash(`${group}/${name}`) < own).length;
+  const own = murmurhash.v3(`${group}/${self}`);
+  const rank = others.filter((name) => murmurhash.v3(`${group}/${name}`) < own).length;
   return rank * staggerMs * Math.min(1, FULL_STAGGER_DAEMONS / Math.max(1, others.length));
 }
--- a/packages/direct/src/sampling.ts
+++ b/packages/direct/src/sampling.ts
@@ -1,3 +1,4 @@
+import murmurhash from 'murmurhash';
 import type { GroupId, InstanceId, Millis } from '@rosedeck/shared';
 import { daemonCount } from './fleet';
 import type { ListedDaemon, PeerSample } from './peerReport';
@@ -29,7 +30,7 @@
   let bestHash = -1;
   for (const daemon of daemons) {
     if (daemon.failureDomain !== failureDomain) continue;
-    const hash = fnv1aHash(`${group}/${daemon.name}`);
+    const hash = murmurhash.v3(`${group}/${daemon.name}`);
     if (hash <= bestHash) continue;
     best = daemon.name;
     bestHash = hash;
@@ -39,9 +40,15 @@
 
 /** True when this daemon samples the group for its failure domain. */
 export function isSampler(world: World, group: GroupRow): boolean {
-  const { name, failureDomain } = world.self;
-  const sampler = samplerOf(world.fleet.listed, group.id, failureDomain);
-  return sampler === undefined || sampler === name;
+  const sampler = findSampler(world, group.id);
+  return sampler === undefined || sampler === world.self.name;
+}
+
+/** As `samplerOf` for this daemon's failure domain, worked out once per directory and group. */
+function findSampler(world: World, group: GroupId): InstanceId | undefined {
+  const { listed, samplers } = world.fleet;
+  if (!samplers.has(group)) samplers.set(group, samplerOf(listed, group, world.self.failureDomain));
+  return samplers.get(group);
 }
 
 /** Requests samples of the groups that this daemon does not sample itself. */
@@ -54,7 +61,7 @@
     )
       continue;
     if (!isScarce(world, group)) continue;
-    const sampler = samplerOf(world.fleet.listed, group.id, world.self.failureDomain);
+    const sampler = findSampler(world, group.id);
     if (sampler === undefined || sampler === world.self.name) continue;
     group.samplesRequestedAt = now;
     requests.set(sampler, [...(requests.get(sampler) ?? []), group.id]);
@@ -95,11 +102,3 @@
     world.groupsToDispatch.add(group);
   }
 }
-
-/** 32-bit FNV-1a hash over the UTF-16 code units of a text. */
-export function fnv1aHash(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let index = 0; index < text.length; index += 1)
-    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
-  return hash >>> 0;
-}
