fix(direct,platform): primaries are judged by the samplers of a large fleet

In a fleet with fewer connections than daemons only samplers probe a primary, each daemon hears a few others at random, and one that does not probe kept a primary that had gone silent.

--- a/packages/direct/__tests__/decisions.spec.ts
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -193,6 +193,7 @@
   primaryDownMs: 1_000,
   replicasLaggingMs: 0,
   hasPeers: true,
+  confirmed: true,
   suspecting: 0,
   trusting: 0,
   elsewhere: 0,
@@ -222,6 +223,10 @@
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 300 }), undefined);
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 2_000 }), undefined);
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 5_000 }), 'nobody_leads');
+  const claimed = { ...health, confirmed: false, primaryDownMs: 9_000 };
+  assert.is(findPromotionReason(claimed), undefined);
+  assert.is(findPromotionReason({ ...claimed, suspecting: 2 }), 'unreachable');
+  assert.is(findPromotionReason({ ...claimed, unlisted: true }), 'gone');
   const last = { ...health, known: false, hasPeers: false, primaryDownMs: 2_000 };
   assert.is(findPromotionReason(last), 'nobody_leads');
 });
--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -242,4 +242,38 @@
   assert.is(rig.promotions.length, 1);
 });
 
+test('a daemon that hears nobody does not undo a promotion whose primary it cannot reach', () => {
+  const rig = createWarmRig();
+  const [old, next, other] = rig.targets;
+  if (!old || !next || !other) throw new Error('no targets');
+  rig.engine.applyDirectory(['d1', 'd2', 'd3'].map((name) => ({ name, failureDomain: 'a' })));
+  // This daemon reaches only the old primary, which holds commits that the promotion discarded.
+  old.received = { term: 1, index: 120 };
+  for (const target of [next, other]) {
+    target.silent = true;
+    target.refusing = true;
+    rig.reset(target);
+  }
+  old.role = 'replica';
+  rig.engine.claimSeen('g', 't2');
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(12_000);
+  assert.equal(rig.promotions, []);
+});
+
+test('a claimed primary that is unlisted and cannot be reached is replaced', () => {
+  const rig = createWarmRig();
+  const [old, next] = rig.targets;
+  if (!old || !next) throw new Error('no targets');
+  rig.engine.applyDirectory(['d1', 'd2', 'd3'].map((name) => ({ name, failureDomain: 'a' })));
+  old.role = 'replica';
+  next.silent = true;
+  next.refusing = true;
+  rig.reset(next);
+  rig.engine.claimSeen('g', 't2');
+  rig.applyList((listed) => (listed.id === 't2' ? undefined : listed));
+  rig.run(12_000);
+  assert.ok(rig.promotions.length > 0);
+});
+
 test.run();
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -94,7 +94,11 @@
 ].map((route) => ({ ...route, group: 'g', timeoutMs: 1_000 }) as Route);
 
 /** Creates a rig whose engine has a configuration and a target list. */
-export function createRig(settings: Partial<DirectSettings> = {}, connectionLimit = 20): Rig {
+export function createRig(
+  settings: Partial<DirectSettings> = {},
+  connectionLimit = 20,
+  name = 'd1',
+): Rig {
   const clock = createManualClock(1_000);
   const timers: { at: number; seq: number; action: () => void }[] = [];
   let seq = 0;
@@ -148,7 +152,7 @@
     clock,
     settings: { ...DEFAULT_DIRECT_SETTINGS, ...settings },
     random: createRandom(7),
-    name: 'd1',
+    name,
     failureDomain: 'a',
     io: {
       openConnection: (id, listed) => {
--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { samplerOf } from '../src/index';
-import type { ListedDaemon, PeerReport } from '../src/index';
+import { samplersOf } from '../src/index';
+import type { DirectSettings, ListedDaemon, PeerReport } from '../src/index';
 import { createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
@@ -11,6 +11,15 @@
   failureDomain: at % 2 === 0 ? 'a' : 'b',
 }));
 
+/** The sampler of a group in a failure domain. */
+function samplerOf(
+  daemons: readonly ListedDaemon[],
+  group: string,
+  failureDomain: string,
+): string | undefined {
+  return samplersOf(daemons, group).get(failureDomain);
+}
+
 function createScarceRig(): Rig {
   const rig = createRig();
   rig.engine.applyDirectory(DAEMONS);
@@ -54,7 +63,10 @@
   const askedAt = rig.now();
   rig.run(100);
   const position = { term: 1, index: 100 };
-  rig.engine.samplesReceived([{ group: 'g', primary: 't1', position, ageMs: 200 }], askedAt);
+  rig.engine.samplesReceived(
+    [{ group: 'g', primary: 't1', position, ageMs: 200, leaderTerm: 0 }],
+    askedAt,
+  );
   const sample = rig.engine.world.groups.get('g')?.samples.at(-1);
   assert.is(sample?.sentAt, askedAt - 200);
   const reads = Array.from({ length: 8 }, () => {
@@ -75,14 +87,23 @@
   rig.run(50);
   rig.engine.timeJumped(4_000);
   const position = { term: 1, index: 100 };
-  rig.engine.samplesReceived([{ group: 'g', primary: 't1', position, ageMs: 10 }], askedAt);
+  rig.engine.samplesReceived(
+    [{ group: 'g', primary: 't1', position, ageMs: 10, leaderTerm: 0 }],
+    askedAt,
+  );
   assert.is(rig.engine.world.groups.get('g')?.samples.length, 0);
 });
 
 test('peer samples of an older term are ignored', () => {
   const rig = createScarceRig();
   const receiveSample = (term: number, index: number): void => {
-    const peerSample = { group: 'g', primary: 't1', position: { term, index }, ageMs: 0 };
+    const peerSample = {
+      group: 'g',
+      primary: 't1',
+      position: { term, index },
+      ageMs: 0,
+      leaderTerm: 0,
+    };
     rig.engine.samplesReceived([peerSample], rig.now());
     rig.run(10);
   };
@@ -145,4 +166,128 @@
   assert.is(reads, 0);
 });
 
+/** A daemon of a scarce fleet that leaves the samples of group g to another one. */
+function createFollowerRig(settings: Partial<DirectSettings> = {}): Rig {
+  const rig = createRig(settings, 5);
+  const sampler = samplerOf(DAEMONS, 'g', 'a');
+  if (sampler === 'd1') throw new Error('the rig samples the group itself');
+  rig.engine.applyDirectory(DAEMONS);
+  openSession(rig, 's', 'bookings');
+  return rig;
+}
+
+/** Delivers a sample that names the primary, taken now. */
+function tellPrimary(rig: Rig, primary: string, leaderTerm = 0): void {
+  const position = { term: 1, index: 100 };
+  rig.engine.samplesReceived([{ group: 'g', primary, position, ageMs: 0, leaderTerm }], rig.now());
+}
+
+test('a daemon that does not probe adopts the new primary that its sampler has proven', () => {
+  const rig = createFollowerRig();
+  rig.run(100);
+  const [old, next] = rig.targets;
+  if (!old || !next) throw new Error('no targets');
+  old.silent = true;
+  rig.promote(next);
+  rig.run(50);
+  tellPrimary(rig, 't2');
+  const write = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(100);
+  assert.is(rig.answerOf(write)?.answer.kind, 'done');
+  assert.is(next.executed.length, 1);
+});
+
+test('a sample older than what a daemon has seen itself does not change its primary', () => {
+  const rig = createFollowerRig();
+  tellPrimary(rig, 't1');
+  rig.run(500);
+  const position = { term: 1, index: 100 };
+  const old = { group: 'g', primary: 't2', position, ageMs: 900, leaderTerm: 0 };
+  rig.engine.samplesReceived([old], rig.now());
+  assert.is(rig.engine.world.groups.get('g')?.primary, 't1');
+});
+
+test('samples are requested more often while the primary may have been replaced', () => {
+  const rig = createFollowerRig();
+  const countRequests = (): number => {
+    const before = rig.sampleRequests.length;
+    for (let at = 0; at < 10; at += 1) {
+      rig.submit('s', { kind: 'read', text: 'READ 1' });
+      tellPrimary(rig, 't1');
+      rig.run(200);
+    }
+    return rig.sampleRequests.length - before;
+  };
+  const usual = countRequests();
+  if (rig.targets[0]) {
+    rig.targets[0].refusing = true;
+    rig.reset(rig.targets[0]);
+  }
+  rig.run(200);
+  assert.ok(countRequests() > 2 * usual);
+});
+
+test('without a fence a daemon uses the primary in the term that its sampler has proven', () => {
+  const rig = createFollowerRig({ promotionsFenced: false });
+  rig.engine.claimsRead(rig.now());
+  rig.run(100);
+  const before = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(60);
+  assert.is.not(rig.answerOf(before)?.answer.kind, 'done');
+  tellPrimary(rig, 't1', 1);
+  rig.engine.claimsRead(rig.now());
+  const write = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(100);
+  assert.is(rig.answerOf(write)?.answer.kind, 'done');
+  rig.engine.leadershipsSeen([{ group: 'g', term: 2, token: 9, target: 't2' }]);
+  tellPrimary(rig, 't1', 1);
+  rig.engine.claimsRead(rig.now());
+  const after = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(60);
+  assert.is.not(rig.answerOf(after)?.answer.kind, 'done');
+});
+
+test('opinions of a primary reach the samplers of its group, from the samplers only', () => {
+  const samplers = samplersOf(DAEMONS, 'g');
+  const name = samplers.get('a');
+  if (name === undefined) throw new Error('no sampler');
+  const rig = createRig({}, 5, name);
+  rig.engine.applyDirectory(DAEMONS);
+  assert.equal([...rig.engine.opinionReceivers()], [samplers.get('b')]);
+  assert.is(createFollowerRig().engine.opinionReceivers().size, 0);
+});
+
+test('a sampler replaces a lost primary before the daemons that do not sample it', () => {
+  const startOf = (name: string): number => {
+    const rig = createRig({}, 5, name);
+    rig.engine.applyDirectory(DAEMONS);
+    rig.run(300);
+    openSession(rig, 's', 'bookings');
+    if (rig.targets[0]) {
+      rig.targets[0].refusing = true;
+      rig.targets[0].silent = true;
+      rig.reset(rig.targets[0]);
+    }
+    const suspecting = { group: 'g', target: 't1', reachable: false };
+    const startedAt = rig.now();
+    while (rig.promotions.length === 0 && rig.now() - startedAt < 9_000) {
+      rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+      rig.engine.applyPeer({
+        name: 'd39',
+        config: 1,
+        view: 1,
+        storeAgeMs: 0,
+        opinions: [suspecting],
+        loads: [],
+        leaderships: [],
+      });
+      rig.run(100);
+    }
+    return rig.now() - startedAt;
+  };
+  const sampler = startOf(samplersOf(DAEMONS, 'g').get('a') ?? '');
+  assert.ok(sampler < 1_500, `${sampler} ms`);
+  assert.ok(startOf('d1') > sampler + 1_000);
+});
+
 test.run();
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -2,7 +2,7 @@
 import { currentShare } from './connectionShare';
 import type { ShareInputs } from './connectionShare';
 import { daemonCount, connectionsOfOthers } from './fleet';
-import { isSampler, isScarce } from './sampling';
+import { isSampler, isScarce } from './samplers';
 import type { LossReason, TargetOp, TargetReply } from './statements';
 import type { ConnectionRow, ReplyHandler, TargetRow, World } from './tables';
 
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -1,4 +1,4 @@
-import type { GroupId, Millis, RequestId, SessionId, TargetId } from '@rosedeck/shared';
+import type { GroupId, InstanceId, Millis, RequestId, SessionId, TargetId } from '@rosedeck/shared';
 import type { DirectConfig, ListedTarget } from './configuration';
 import { applyReply, loseConnection, handleOpened } from './connections';
 import { runDispatch } from './dispatch';
@@ -10,6 +10,7 @@
 import type { PromotionResult } from './promotionTypes';
 import { createReport } from './ownReport';
 import { enqueueRequest, shedLateRequests } from './requests';
+import { opinionReceivers } from './samplers';
 import { applyPeerSamples, collectSamples } from './sampling';
 import { applyStatement, closeSession, finishRequest, openSession } from './sessions';
 import type { CallerStatement, LossReason, TargetReply } from './statements';
@@ -65,6 +66,8 @@
   samplesReceived: (samples: readonly PeerSample[], askedAt: Millis) => void;
   /** True when every configured group that a route uses has a target. */
   hasTargetsForRoutes: () => boolean;
+  /** Daemons that this daemon's reports have to reach, beside those chosen at random. */
+  opinionReceivers: () => ReadonlySet<InstanceId>;
   /** Creates this daemon's report for the others; `view` and `storeAgeMs` are those of its view. */
   report: (view: number, storeAgeMs: Millis) => PeerReport;
 }
@@ -186,6 +189,7 @@
       dispatchPending();
     },
     hasTargetsForRoutes: () => hasTargetsForRoutes(world),
+    opinionReceivers: () => opinionReceivers(world),
     report: (view, storeAgeMs) => createReport(world, view, storeAgeMs),
   };
 }
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -6,10 +6,11 @@
 import type { Opinions } from './fleet';
 import { isCurrent } from './leadership';
 import { probeTargets, requestStatus } from './primaryProbes';
-import { reviewPrimary } from './primaryTracking';
+import { presumePrimary, reviewPrimary } from './primaryTracking';
 import { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 import type { PromotionCandidate } from './promotionPolicy';
 import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
+import { isSampler, isScarce, otherSamplers } from './samplers';
 import { trackLaggingReplicas } from './laggingReplicas';
 import type { GroupRow, TargetRow, World } from './tables';
 
@@ -19,6 +20,9 @@
 /** Pause after a promotion that found no candidate or could not be ordered. */
 const UNAVAILABLE_PAUSE_MS: Millis = 400;
 
+/** Time in which the samplers of a group replace its primary, before other daemons start to. */
+const SAMPLERS_FIRST_MS: Millis = 2_000;
+
 /** A replica that has not received a position of this age counts as not receiving. */
 const MAX_RECEIVE_LAG_MS: Millis = 500;
 
@@ -30,11 +34,7 @@
   detectPrimaryFailure(world, group, primary, now);
   driveStepDown(world, group, now);
   probeTargets(world, group, primary, now);
-  if (
-    group.expectedPrimary &&
-    now - group.expectedPrimary.since > world.settings.promotionTimeoutMs
-  )
-    group.expectedPrimary = undefined;
+  expireExpectedPrimary(world, group, now);
   if (group.promotion) {
     continuePromotion(world, group, group.promotion, now);
     return;
@@ -42,6 +42,15 @@
   startPromotionIfNeeded(world, group, primary, now);
 }
 
+function expireExpectedPrimary(world: World, group: GroupRow, now: Millis): void {
+  const expected = group.expectedPrimary;
+  if (!expected || now - expected.since <= world.settings.promotionTimeoutMs) return;
+  group.expectedPrimary = undefined;
+  const seenAt = Math.max(group.primaryProvenAt ?? -Infinity, group.primaryToldAt ?? -Infinity);
+  if (seenAt < expected.since && group.targets.has(expected.target))
+    presumePrimary(world, group, expected.target);
+}
+
 function detectPrimaryFailure(
   world: World,
   group: GroupRow,
@@ -103,6 +112,7 @@
     replicasLaggingMs: world.settings.promotionsFenced
       ? trackLaggingReplicas(world, group, now)
       : 0,
+    confirmed: group.primaryProvenAt !== undefined || group.primaryToldAt !== undefined,
     hasPeers: world.fleet.listed.length > 1,
     ...opinions,
   });
@@ -113,9 +123,7 @@
   }
   if (group.promotionNotBefore !== undefined && now < group.promotionNotBefore) return;
   group.promotionReasonSince ??= now;
-  const peers = [...world.fleet.peers.keys()];
-  const { name } = world.self;
-  const delayMs = promotionDelayMs(name, peers, group.id, world.settings.promotionStaggerMs);
+  const delayMs = ownPromotionDelayMs(world, group);
   if (now - group.promotionReasonSince < delayMs) return;
   world.io.log({ type: 'promotion_started', group: group.id, reason, ...opinions });
   group.promotion = { reason, startedAt: now, stage: 'survey' };
@@ -165,6 +173,18 @@
   world.io.promote(group.id, choice.id, nextTerm(group));
 }
 
+/** Time that this daemon leaves to those that are ranked before it, in a large fleet the samplers. */
+function ownPromotionDelayMs(world: World, group: GroupRow): Millis {
+  const { name } = world.self;
+  const { promotionStaggerMs } = world.settings;
+  const peers = [...world.fleet.peers.keys()];
+  if (!isScarce(world, group)) return promotionDelayMs(name, peers, group.id, promotionStaggerMs);
+  const samplers = otherSamplers(world, group);
+  if (isSampler(world, group))
+    return promotionDelayMs(name, samplers, group.id, promotionStaggerMs);
+  return SAMPLERS_FIRST_MS + promotionDelayMs(name, peers, group.id, promotionStaggerMs);
+}
+
 /** True when a newer leadership than that of the known primary has been claimed. */
 function isOutdated(group: GroupRow): boolean {
   return !isCurrent(group.newest, group.leaderTerm, group.primary);
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -66,7 +66,8 @@
 /** True when the group's primary may be sent work. */
 export function mayUsePrimary(world: World, group: GroupRow, now: Millis): boolean {
   if (world.settings.promotionsFenced) return true;
-  if (group.primary === undefined || group.primaryProvenAt === undefined) return false;
+  if (group.primary === undefined) return false;
+  if (group.primaryProvenAt === undefined && group.primaryToldAt === undefined) return false;
   return isTrusted(world, group, group.primary, group.leaderTerm, now);
 }
 
@@ -85,6 +86,7 @@
     token: leadership.token,
   });
   group.primaryProvenAt = undefined;
+  group.primaryToldAt = undefined;
   group.replaced =
     group.primary === undefined || group.primary === leadership.target
       ? undefined
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -18,7 +18,7 @@
 export type { DirectLogEvent } from './logEvents';
 export * from './placement';
 export * from './sampleHistory';
-export { samplerOf } from './sampling';
+export { samplersOf } from './samplers';
 export * from './settings';
 export * from './statements';
 export * from './watchers';
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -67,8 +67,8 @@
   witnesses: readonly ListedDaemon[];
   /** Those of them that watch the store; see `watchersOf`. */
   watchers: ReadonlySet<InstanceId>;
-  /** Samplers of the groups in this failure domain, as far as worked out for `listed`. */
-  readonly samplers: Map<GroupId, InstanceId | undefined>;
+  /** Samplers of the groups by failure domain, as far as worked out for `listed`. */
+  readonly samplers: Map<GroupId, ReadonlyMap<FailureDomain, InstanceId>>;
 }
 
 /** A position sample of a primary, as one daemon sends it to another. */
@@ -78,4 +78,6 @@
   readonly position: Position;
   /** Age of the sample when it was sent. */
   readonly ageMs: Millis;
+  /** Term in which the primary leads, where the platform does not fence promotions; else 0. */
+  readonly leaderTerm: number;
 }
--- a/packages/direct/src/primaryProbes.ts
+++ b/packages/direct/src/primaryProbes.ts
@@ -4,7 +4,7 @@
 import { isCurrent } from './leadership';
 import { recordNotPrimary, recordPrimaryProof, recordStatus } from './primaryTracking';
 import { rollbackStep } from './rollback';
-import { isSampler, isScarce } from './sampling';
+import { isSampler, isScarce } from './samplers';
 import type { ConnectionRow, GroupRow, TargetRow, World } from './tables';
 
 /**
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -65,6 +65,40 @@
   recordPrimaryProof(world, target, reply.position, sent);
 }
 
+/**
+ * Adopts the primary that another daemon has proven at `provenAt`, unless this daemon knows better.
+ * In a large fleet only samplers probe, so that the others would keep a primary that went silent.
+ */
+export function adoptPrimary(
+  world: World,
+  target: TargetRow,
+  leaderTerm: number,
+  provenAt: Millis,
+): void {
+  const { group } = target;
+  if (provenAt <= Math.max(group.primaryProvenAt ?? 0, group.primaryToldAt ?? 0)) return;
+  if (provenAt <= target.notPrimaryAt) return;
+  if (!isTrusted(world, group, target.listed.id, leaderTerm, world.clock.now())) return;
+  if (!world.settings.promotionsFenced) {
+    target.ledTerm = leaderTerm;
+    group.leaderTerm = leaderTerm;
+  }
+  if (group.primary !== target.listed.id)
+    setPrimary(world, group, target.listed.id, 'a sample of another daemon');
+  group.primaryToldAt = provenAt;
+  const expected = group.expectedPrimary;
+  if (expected?.target === target.listed.id && provenAt >= expected.since)
+    group.expectedPrimary = undefined;
+}
+
+/**
+ * Takes a claimed primary for the primary although it has not proven it. This daemon may be cut
+ * off from it, and must not restore the commits that the promotion has discarded.
+ */
+export function presumePrimary(world: World, group: GroupRow, target: TargetId): void {
+  if (group.primary !== target) setPrimary(world, group, target, 'a claim');
+}
+
 /** Records that a target refused an operation because it is not the primary. */
 export function recordNotPrimary(world: World, target: TargetRow, sent: SentOp): void {
   const { group } = target;
@@ -93,6 +127,7 @@
   const from = group.primary;
   group.primary = to;
   if (evidence !== 'it leads') group.primaryProvenAt = undefined;
+  group.primaryToldAt = undefined;
   world.groupsToDispatch.add(group);
   if (from === to) return;
   world.io.log({
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -15,6 +15,8 @@
   readonly primaryDownMs: Millis;
   /** Time that all replicas have lagged too far for any read, while reads wait for the primary. */
   readonly replicasLaggingMs: Millis;
+  /** The primary has been proven, to this daemon or another; false for one that was only claimed. */
+  readonly confirmed: boolean;
   /** The directory lists other daemons. */
   readonly hasPeers: boolean;
   /** Other daemons that cannot reach the primary. */
@@ -40,8 +42,9 @@
  * use other daemons. Replicas that apply received data too late for any read are also a reason: a
  * promoted replica has applied all of it, and the old primary then serves reads beside it.
  *
- * Where other daemons have proof of another primary, this one is isolated from it. A promotion
- * could then restore commits that the other primary has discarded.
+ * Where other daemons have proof of another primary, or a primary was claimed that this daemon never
+ * reached and nobody else suspects, this one may be isolated from it. A promotion could then restore
+ * commits that the other primary has discarded.
  */
 export function findPromotionReason(health: PrimaryHealth): PromotionReason | undefined {
   if (health.elsewhere > 0) return undefined;
@@ -53,6 +56,7 @@
   if (!health.suspected)
     return health.replicasLaggingMs > REPLICAS_LAGGING_MS ? 'replicas_behind' : undefined;
   if (health.unlisted) return 'gone';
+  if (lacksOpinions && !health.confirmed) return undefined;
   if (lacksOpinions && health.primaryDownMs < NO_OPINIONS_WAIT_MS) return undefined;
   return health.suspecting + 1 > health.trusting ? 'unreachable' : undefined;
 }
--- a/packages/direct/src/sampling.ts
+++ b/packages/direct/src/sampling.ts
@@ -1,65 +1,29 @@
-import murmurhash from 'murmurhash';
 import type { GroupId, InstanceId, Millis } from '@rosedeck/shared';
-import { daemonCount } from './fleet';
-import type { ListedDaemon, PeerSample } from './peerReport';
+import type { PeerSample } from './peerReport';
+import { adoptPrimary } from './primaryTracking';
 import { addSample } from './sampleHistory';
+import { findSampler, isScarce } from './samplers';
 import type { GroupRow, World } from './tables';
 
 /** Interval of the requests for samples: keeps the newest one at most about a second old. */
 const REQUEST_INTERVAL_MS: Millis = 700;
 
-/** No samples are requested of a group that has had no requests for this long. */
-const MAX_IDLE_MS: Millis = 3_000;
-
-/** True when a target has too few connections for one from each daemon. */
-export function isScarce(world: World, group: GroupRow): boolean {
-  return group.connectionLimit * world.settings.connectionPlanShare < daemonCount(world);
-}
+/** Interval while the primary is not known for sure; the sampler finds a new one by probes. */
+const UNSURE_INTERVAL_MS: Millis = 200;
 
-/**
- * The daemon of a failure domain that samples a group's primary for the others, by rendezvous
- * hashing. Where there are more daemons than connections, each failure domain then needs one
- * connection for samples instead of one per daemon.
- */
-export function samplerOf(
-  daemons: readonly ListedDaemon[],
-  group: GroupId,
-  failureDomain: string,
-): InstanceId | undefined {
-  let best: InstanceId | undefined;
-  let bestHash = -1;
-  for (const daemon of daemons) {
-    if (daemon.failureDomain !== failureDomain) continue;
-    const hash = murmurhash.v3(`${group}/${daemon.name}`);
-    if (hash <= bestHash) continue;
-    best = daemon.name;
-    bestHash = hash;
-  }
-  return best;
-}
+/** A primary that no proof or sample has shown for this long may have been replaced. */
+const UNSURE_AGE_MS: Millis = 1_500;
 
-/** True when this daemon samples the group for its failure domain. */
-export function isSampler(world: World, group: GroupRow): boolean {
-  const sampler = findSampler(world, group.id);
-  return sampler === undefined || sampler === world.self.name;
-}
-
-/** As `samplerOf` for this daemon's failure domain, worked out once per directory and group. */
-function findSampler(world: World, group: GroupId): InstanceId | undefined {
-  const { listed, samplers } = world.fleet;
-  if (!samplers.has(group)) samplers.set(group, samplerOf(listed, group, world.self.failureDomain));
-  return samplers.get(group);
-}
+/** No samples are requested of a group that has had no requests for this long. */
+const MAX_IDLE_MS: Millis = 3_000;
 
 /** Requests samples of the groups that this daemon does not sample itself. */
 export function runSampling(world: World, now: Millis): void {
   const requests = new Map<InstanceId, GroupId[]>();
   for (const group of world.groups.values()) {
-    if (
-      now - group.samplesRequestedAt < REQUEST_INTERVAL_MS ||
-      now - group.lastRequestAt > MAX_IDLE_MS
-    )
-      continue;
+    if (now - group.lastRequestAt > MAX_IDLE_MS) continue;
+    const intervalMs = isUnsure(group, now) ? UNSURE_INTERVAL_MS : REQUEST_INTERVAL_MS;
+    if (now - group.samplesRequestedAt < intervalMs) continue;
     if (!isScarce(world, group)) continue;
     const sampler = findSampler(world, group.id);
     if (sampler === undefined || sampler === world.self.name) continue;
@@ -69,6 +33,14 @@
   for (const [sampler, groups] of requests) world.io.requestSamples(sampler, groups, now);
 }
 
+/** True when the group's primary may have been replaced, or is not known. */
+function isUnsure(group: GroupRow, now: Millis): boolean {
+  const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  if (!primary || primary.failingSince !== undefined || group.expectedPrimary) return true;
+  const seenAt = Math.max(group.primaryProvenAt ?? -Infinity, group.primaryToldAt ?? -Infinity);
+  return now - seenAt > UNSURE_AGE_MS;
+}
+
 /** Collects the newest samples of the groups, to answer another daemon. */
 export function collectSamples(world: World, groups: readonly GroupId[]): PeerSample[] {
   const now = world.clock.now();
@@ -77,7 +49,8 @@
     const sample = group?.samples.at(-1);
     if (!group?.primary || !sample) return [];
     const ageMs = now - sample.sentAt;
-    return [{ group: id, primary: group.primary, position: sample.position, ageMs }];
+    const { primary, leaderTerm } = group;
+    return [{ group: id, primary, position: sample.position, ageMs, leaderTerm }];
   });
 }
 
@@ -94,11 +67,11 @@
   for (const sample of samples) {
     const group = world.groups.get(sample.group);
     if (!group || sample.position.term < group.term || sample.ageMs < 0) continue;
-    addSample(group.samples, { position: sample.position, sentAt: askedAt - sample.ageMs });
-    if (sample.position.term > group.term || group.primary === undefined) {
-      group.term = sample.position.term;
-      if (group.targets.has(sample.primary)) group.primary = sample.primary;
-    }
+    const sampledAt = askedAt - sample.ageMs;
+    const target = group.targets.get(sample.primary);
+    if (target) adoptPrimary(world, target, sample.leaderTerm, sampledAt);
+    group.term = sample.position.term;
+    addSample(group.samples, { position: sample.position, sentAt: sampledAt });
     world.groupsToDispatch.add(group);
   }
 }
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -149,6 +149,8 @@
   primary?: TargetId;
   /** Sending time of the operation whose reply last proved the primary; undefined: unconfirmed. */
   primaryProvenAt?: Millis;
+  /** When another daemon proved the primary, as told by its newest sample. */
+  primaryToldAt?: Millis;
   /** Highest term of a proven primary's log. */
   term: number;
   /** Term in which the primary was last proven to lead, where the platform does not fence promotions. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -105,7 +105,9 @@
   };
   group.targets.set(listed.id, row);
   world.targets.set(listed.id, row);
-  if (group.primary === listed.id) group.primaryProvenAt = undefined;
+  if (group.primary !== listed.id) return;
+  group.primaryProvenAt = undefined;
+  group.primaryToldAt = undefined;
 }
 
 /** Removes a target and closes its connections. */
@@ -123,6 +125,7 @@
   for (const group of world.groups.values()) {
     group.samples.length = 0;
     group.primaryProvenAt = undefined;
+    group.primaryToldAt = undefined;
     group.promotionReasonSince = undefined;
     group.expectedPrimary = undefined;
   }
