fix(direct): overdue waits for a primary are refused at once

Cause: once the usual time of a promotion had passed, the expected rest stayed at 50 ms, so callers of daemons that a split kept from the new primary waited nearly their whole time for a refusal.

Change: what is overdue is expected to take 0.3 of the time that it has taken so far.

--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { remainingWaitMs } from '../src/index';
 import type { PeerReport } from '../src/index';
 import { createRig, openSession } from './rig';
 import type { Rig } from './rig';
@@ -276,4 +277,32 @@
   assert.ok(rig.promotions.length > 0);
 });
 
+test('callers of a daemon that a split keeps from any primary are refused at once for seconds', () => {
+  const rig = createWarmRig();
+  for (const target of rig.targets) {
+    target.role = 'replica';
+    target.silent = target.id !== 't1';
+    target.refusing = target.silent;
+    if (target.silent) rig.reset(target);
+  }
+  repeatReports(rig, [createReport('d2', true, 't2')], 2_000);
+  for (let at = 0; at < 10; at += 1) {
+    const session = `late${at}`;
+    openSession(rig, session, 'bookings');
+    const write = rig.submit(session, { kind: 'write', text: 'WRITE 1 x' });
+    rig.run(1);
+    const answer = rig.answerOf(write)?.answer;
+    assert.is(answer?.kind === 'failed' && answer.failure.kind, 'group_unavailable');
+    assert.ok(answer?.kind === 'failed' && (answer.failure.retryAfterMs ?? 0) >= 500);
+    repeatReports(rig, [createReport('d2', true, 't2')], 200);
+  }
+});
+
+test('a wait that is overdue is expected to take longer, not to end at any moment', () => {
+  assert.is(remainingWaitMs(800, 0), 800);
+  assert.is(remainingWaitMs(800, 500), 300);
+  assert.is(remainingWaitMs(800, 4_000), 1_200);
+  assert.is(remainingWaitMs(60, 30), 50);
+});
+
 test.run();
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -17,6 +17,7 @@
 export type { PromotionReason, PromotionResult } from './promotionTypes';
 export type { DirectLogEvent } from './logEvents';
 export * from './placement';
+export { remainingWaitMs } from './primaryWait';
 export * from './sampleHistory';
 export { samplersOf } from './samplers';
 export * from './settings';
--- a/packages/direct/src/primaryWait.ts
+++ b/packages/direct/src/primaryWait.ts
@@ -11,6 +11,18 @@
 /** Time within which probes find a primary that has already taken over. */
 const SEARCH_MS: Millis = 300;
 
+/** Expected rest of a wait that is overdue, as a share of its time so far. */
+const OVERDUE_SHARE = 0.3;
+
+/**
+ * Expected rest of a wait that usually takes `expectedMs`, after `elapsedMs` of it. Load pattern: a
+ * split keeps some daemons from the new primary for seconds; what has not come in its usual time is
+ * then as far away as it is overdue, and callers had better try another daemon at once.
+ */
+export function remainingWaitMs(expectedMs: Millis, elapsedMs: Millis): Millis {
+  return Math.max(MIN_WAIT_MS, expectedMs - elapsedMs, elapsedMs * OVERDUE_SHARE);
+}
+
 /** Expected time until the group has a usable primary; 0 while it has one. */
 export function expectedPrimaryWaitMs(world: World, group: GroupRow, now: Millis): Millis {
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
@@ -24,13 +36,11 @@
     return 0;
   if (isUsable && group.primaryProvenAt !== undefined && group.suspectedPrimary === undefined)
     return 0;
-  if (group.expectedPrimary) {
-    const remainingMs = group.expectedPrimary.since + group.promotionMs.value - now;
-    return Math.max(MIN_WAIT_MS, remainingMs);
-  }
-  if (group.primaryDownSince === undefined) return isUsable ? 0 : UNPROVEN_WAIT_MS;
+  const { expectedPrimary, primaryDownSince } = group;
+  if (expectedPrimary) return remainingWaitMs(group.promotionMs.value, now - expectedPrimary.since);
+  if (primaryDownSince === undefined) return isUsable ? 0 : UNPROVEN_WAIT_MS;
+  const downMs = now - primaryDownSince;
   // A primary that was just demoted has a successor, which a probe soon finds.
-  if (!primary && now - group.primaryDownSince < SEARCH_MS) return MIN_WAIT_MS;
-  const totalMs = world.settings.expectedDetectionMs + group.promotionMs.value;
-  return Math.max(MIN_WAIT_MS, group.primaryDownSince + totalMs - now);
+  if (!primary && downMs < SEARCH_MS) return MIN_WAIT_MS;
+  return remainingWaitMs(world.settings.expectedDetectionMs + group.promotionMs.value, downMs);
 }
