fix(direct): time jumps clear loads and failures; unanswered hedges end

Cause: after a time jump the sums of the peers' loads kept what the cleared reports had added, and the count of failures outlived the time of the first one; the connection of a hedged read whose first target never replied was under no timeout. A failing test each.

--- a/packages/direct/__tests__/fleet.spec.ts
+++ b/packages/direct/__tests__/fleet.spec.ts
@@ -27,6 +27,23 @@
   assert.is(connectionsOfOthers(engine.world, 't2'), 3);
 });
 
+test('a time jump leaves nothing of earlier loads and failures', () => {
+  const rig = createRig();
+  const { engine } = rig;
+  rig.run(300);
+  engine.applyPeer(reportOf('d2', [['t1', 4, 1.5]]));
+  const target = rig.targets[1];
+  if (target) target.refusing = true;
+  if (target) rig.reset(target);
+  rig.run(600);
+  assert.ok((engine.world.targets.get('t2')?.failures ?? 0) > 1);
+  engine.timeJumped(4_000);
+  assert.is(engine.world.targets.get('t2')?.failures, 0);
+  engine.applyPeer(reportOf('d2', [['t1', 4, 1.5]]));
+  assert.is(connectionsOfOthers(engine.world, 't1'), 4);
+  assert.is(othersInFlight(engine.world, 't1'), 1.5);
+});
+
 test('the load of a daemon that falls silent is no longer counted', () => {
   const rig = createRig();
   const { engine } = rig;
--- a/packages/direct/__tests__/reads.spec.ts
+++ b/packages/direct/__tests__/reads.spec.ts
@@ -160,4 +160,20 @@
   assert.ok(late.filter((id) => id === 't2').length <= 3, late.join(' '));
 });
 
+test('the connection of a hedged read whose first target never replies is closed', () => {
+  const rig = createRig();
+  rig.run(300);
+  openSession(rig, 's', 'loops');
+  const read = rig.submit('s', { kind: 'read', text: 'READ 1' });
+  rig.run(5);
+  const busy = [...rig.engine.world.connections.values()].find((row) => row.state === 'busy');
+  const silent = rig.targets.find(({ id }) => id === busy?.target.listed.id);
+  if (!busy || !silent) throw new Error('the read was not sent');
+  silent.silent = true;
+  rig.run(500);
+  assert.is(rig.answerOf(read)?.answer.kind, 'done');
+  rig.run(2_000);
+  assert.not.ok(rig.engine.world.connections.has(busy.id));
+});
+
 test.run();
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -44,6 +44,7 @@
     lastReplyAt: now,
     idleSince: now,
     takenAt: now,
+    statementDeadlineAt: now,
     pending: [],
     variables: new Map(),
     prepared: new Set(),
@@ -229,8 +230,9 @@
 const IDLE_TIMEOUT_GROWTH = 1.05;
 
 /**
- * Closes connections whose opening or set-up is overdue, and surplus idle ones. A running statement
- * has no timeout here; `expireRunning` applies the deadline of its request.
+ * Closes connections whose opening or set-up is overdue, and surplus idle ones. `expireRunning`
+ * applies the deadline of a running request; what is left here is a statement whose request has been
+ * answered by another target.
  */
 export function reapConnections(world: World, now: Millis): void {
   const { settings } = world;
@@ -240,7 +242,12 @@
       continue;
     }
     const [oldest] = row.pending;
-    if (oldest && oldest.op !== 'run') {
+    if (oldest?.op === 'run') {
+      if (now - row.statementDeadlineAt > settings.setupTimeoutMs)
+        loseConnection(world, row, 'silent', now);
+      continue;
+    }
+    if (oldest) {
       const limit = oldest.op === 'status' ? settings.statusWaitMs * 2 : settings.setupTimeoutMs;
       if (now - Math.max(oldest.sentAt, row.lastReplyAt) > limit)
         loseConnection(world, row, 'silent', now);
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -79,6 +79,7 @@
   row.stage = 'running';
   row.tries += 1;
   row.running.add(connection);
+  connection.statementDeadlineAt = row.deadlineAt;
   row.lastSentAt = world.clock.now();
   row.target = connection.target.listed.id;
   world.running.add(row);
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -79,6 +79,8 @@
   idleSince: Millis;
   /** When the connection was last taken for work. */
   takenAt: Millis;
+  /** Deadline of the statement that was last sent on the connection. */
+  statementDeadlineAt: Millis;
   readonly pending: SentOp[];
   /** Session variables that are set on the connection. */
   readonly variables: Map<string, string>;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -130,8 +130,13 @@
     group.expectedPrimary = undefined;
   }
   world.claimsReadAt = -Infinity;
-  for (const target of world.targets.values()) target.failingSince = undefined;
+  for (const target of world.targets.values()) {
+    target.failingSince = undefined;
+    target.failures = 0;
+    target.lastFailure = undefined;
+  }
   world.fleet.peers.clear();
+  world.fleet.totals.clear();
   world.io.log({ type: 'time_jumped', byMs: Math.round(byMs) });
 }
 
