feat(direct,platform): samplers sum up loads; connections are opened where load is low

Cause: a daemon of a large fleet hears 40 of 194 others and scaled their loads up to all: with half a statement a second at each target the result is mostly noise, so targets were found at their connection limit only by refusals, and a target got 2.4 times the mean. With more daemons than connections nearly every read opens one, and the target for it was chosen without regard to load.

Change: where connections are scarce, daemons send their loads with the requests for samples; the samplers sum up their failure domains, exchange the sums in their reports and return the total. Reports carry no own loads there. Connections for reads are opened by placement cost, at the primary last.

--- a/packages/direct/__tests__/decisions.spec.ts
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -6,6 +6,7 @@
   baseShare,
   chooseCandidate,
   chooseReadTarget,
+  chooseTargetToOpen,
   currentShare,
   expectedWaitMs,
   findPromotionReason,
@@ -199,6 +200,31 @@
   elsewhere: 0,
 };
 
+test('connections for reads are opened where the load is low, at the primary last', () => {
+  const counts = new Map<string, number>();
+  const random = createRandom(1);
+  // The loads are those of half a second ago: each of hundreds of daemons chooses for itself.
+  for (let daemon = 0; daemon < 300; daemon += 1) {
+    const targets = [
+      target('p', { otherInFlight: 1, isPrimary: true }),
+      target('a', { otherInFlight: 2 }),
+      target('b', { otherInFlight: 2.1 }),
+    ];
+    const id = chooseTargetToOpen(targets, 1.15, random)?.id ?? '';
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  const meanCount = 300 / 2;
+  assert.ok((counts.get('a') ?? 0) < 2 * meanCount && (counts.get('b') ?? 0) > meanCount / 2);
+  assert.is(counts.get('p') ?? 0, 0);
+  const busy = [
+    target('p', { isPrimary: true }),
+    target('a', { otherInFlight: 5 }),
+    target('b', { otherInFlight: 5 }),
+  ];
+  assert.is(chooseTargetToOpen(busy, 1.15, random)?.id, 'p');
+  assert.is(chooseTargetToOpen([], 1.15, random), undefined);
+});
+
 test('a primary is replaced when most daemons cannot reach it', () => {
   assert.is(findPromotionReason({ ...health, suspecting: 4, trusting: 3 }), 'unreachable');
   assert.is(findPromotionReason({ ...health, suspecting: 2, trusting: 5 }), undefined);
--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -15,7 +15,16 @@
 /** A report of another daemon with its opinion of one target. */
 function createReport(name: string, reachable: boolean, target = 't1'): PeerReport {
   const opinions = [{ group: 'g', target, reachable }];
-  return { name, config: 1, view: 1, opinions, loads: [], storeAgeMs: 0, leaderships: [] };
+  return {
+    name,
+    config: 1,
+    view: 1,
+    opinions,
+    loads: [],
+    storeAgeMs: 0,
+    groupLoads: [],
+    leaderships: [],
+  };
 }
 
 /** Applies the reports every 200 ms for a time. */
--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -19,6 +19,7 @@
         opinions: [],
         loads: [],
         storeAgeMs: 0,
+        groupLoads: [],
         leaderships: [],
       });
     rig.run(100);
@@ -69,6 +70,7 @@
     opinions: [],
     loads: [],
     storeAgeMs: 0,
+    groupLoads: [],
     leaderships: [claim(2, 't2')],
   });
   assert.is.not(writeOutcome(rig), 'done');
--- a/packages/direct/__tests__/fleet.spec.ts
+++ b/packages/direct/__tests__/fleet.spec.ts
@@ -1,9 +1,15 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { PeerReport } from '../src/index';
-import { daemonCount, connectionsOfOthers, othersInFlight } from '../src/fleet';
+import type { PeerReport, World } from '../src/index';
+import { daemonCount, estimateOthers } from '../src/fleet';
 import { createRig } from './rig';
 
+const connectionsOfOthers = (world: World, target: string): number | undefined =>
+  estimateOthers(world, target, 'connections');
+
+const othersInFlight = (world: World, target: string): number =>
+  estimateOthers(world, target, 'inFlight') ?? 0;
+
 const reportOf = (name: string, loads: PeerReport['loads']): PeerReport => ({
   name,
   config: 1,
@@ -11,6 +17,7 @@
   opinions: [],
   loads,
   storeAgeMs: 0,
+  groupLoads: [],
   leaderships: [],
 });
 
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -9,6 +9,7 @@
   DirectSettings,
   ListedTarget,
   Route,
+  SampleRequest,
   SessionState,
   TargetOp,
   TargetReply,
@@ -42,11 +43,7 @@
   readonly promotionTerms: number[];
   readonly closedSessions: string[];
   /** Requests for samples to other daemons. */
-  readonly sampleRequests: {
-    readonly peer: string;
-    readonly groups: readonly string[];
-    readonly askedAt: number;
-  }[];
+  readonly sampleRequests: ({ readonly peer: string } & SampleRequest)[];
   now: () => number;
   /** Advances the clock, with ticks and the timers that are due. */
   run: (ms: number) => void;
@@ -113,7 +110,7 @@
   const promotions: { group: string; target: string }[] = [];
   const promotionTerms: number[] = [];
   const closedSessions: string[] = [];
-  const sampleRequests: { peer: string; groups: readonly string[]; askedAt: number }[] = [];
+  const sampleRequests: ({ readonly peer: string } & SampleRequest)[] = [];
 
   const runNext = (id: ConnectionId, connection: FakeConnection): void => {
     if (connection.working) return;
@@ -202,7 +199,7 @@
         promotions.push({ group, target });
         promotionTerms.push(term);
       },
-      requestSamples: (peer, groups, askedAt) => sampleRequests.push({ peer, groups, askedAt }),
+      requestSamples: (peer, request) => sampleRequests.push({ peer, ...request }),
       wakeAfter: (ms) => {
         schedule(ms, () => {
           engine.wake();
--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -64,7 +64,7 @@
   rig.run(100);
   const position = { term: 1, index: 100 };
   rig.engine.samplesReceived(
-    [{ group: 'g', primary: 't1', position, ageMs: 200, leaderTerm: 0 }],
+    { samples: [{ group: 'g', primary: 't1', position, ageMs: 200, leaderTerm: 0 }], totals: [] },
     askedAt,
   );
   const sample = rig.engine.world.groups.get('g')?.samples.at(-1);
@@ -88,7 +88,7 @@
   rig.engine.timeJumped(4_000);
   const position = { term: 1, index: 100 };
   rig.engine.samplesReceived(
-    [{ group: 'g', primary: 't1', position, ageMs: 10, leaderTerm: 0 }],
+    { samples: [{ group: 'g', primary: 't1', position, ageMs: 10, leaderTerm: 0 }], totals: [] },
     askedAt,
   );
   assert.is(rig.engine.world.groups.get('g')?.samples.length, 0);
@@ -104,7 +104,7 @@
       ageMs: 0,
       leaderTerm: 0,
     };
-    rig.engine.samplesReceived([peerSample], rig.now());
+    rig.engine.samplesReceived({ samples: [peerSample], totals: [] }, rig.now());
     rig.run(10);
   };
   receiveSample(2, 90);
@@ -122,6 +122,7 @@
     opinions: [],
     loads: [['t1', held, 0]],
     storeAgeMs: 0,
+    groupLoads: [],
     leaderships: [],
   });
   rig.engine.applyPeer(report(17));
@@ -179,7 +180,10 @@
 /** Delivers a sample that names the primary, taken now. */
 function tellPrimary(rig: Rig, primary: string, leaderTerm = 0): void {
   const position = { term: 1, index: 100 };
-  rig.engine.samplesReceived([{ group: 'g', primary, position, ageMs: 0, leaderTerm }], rig.now());
+  rig.engine.samplesReceived(
+    { samples: [{ group: 'g', primary, position, ageMs: 0, leaderTerm }], totals: [] },
+    rig.now(),
+  );
 }
 
 test('a daemon that does not probe adopts the new primary that its sampler has proven', () => {
@@ -203,7 +207,7 @@
   rig.run(500);
   const position = { term: 1, index: 100 };
   const old = { group: 'g', primary: 't2', position, ageMs: 900, leaderTerm: 0 };
-  rig.engine.samplesReceived([old], rig.now());
+  rig.engine.samplesReceived({ samples: [old], totals: [] }, rig.now());
   assert.is(rig.engine.world.groups.get('g')?.primary, 't1');
 });
 
@@ -279,6 +283,7 @@
         storeAgeMs: 0,
         opinions: [suspecting],
         loads: [],
+        groupLoads: [],
         leaderships: [],
       });
       rig.run(100);
@@ -290,4 +295,74 @@
   assert.ok(startOf('d1') > sampler + 1_000);
 });
 
+/** What the sampler's reply says of all daemons' loads at t1. */
+function tellTotal(rig: Rig, connections: number, inFlight: number): void {
+  const totals = [{ group: 'g', loads: [['t1', connections, inFlight] as const] }];
+  rig.engine.samplesReceived({ samples: [], totals }, rig.now());
+}
+
+test('the loads of hundreds of daemons add up at the sampler, and reach each of them', () => {
+  const name = samplerOf(DAEMONS, 'g', 'a') ?? '';
+  const rig = createRig({}, 5, name);
+  rig.engine.applyDirectory(DAEMONS);
+  const loads = (connections: number, inFlight: number) => [
+    { group: 'g', loads: [['t1', connections, inFlight] as const] },
+  ];
+  for (let at = 0; at < 30; at += 1) rig.engine.replyToRequest(`d${at}`, loads(1, 0.1));
+  const other = DAEMONS.find(({ failureDomain }) => failureDomain === 'b');
+  rig.engine.applyPeer({
+    name: other?.name ?? '',
+    config: 1,
+    view: 1,
+    storeAgeMs: 0,
+    opinions: [],
+    loads: [],
+    groupLoads: loads(20, 4),
+    leaderships: [],
+  });
+  const { totals } = rig.engine.replyToRequest('d0', loads(1, 0.1));
+  const [target, connections, inFlight] = totals[0]?.loads[0] ?? [];
+  assert.is(target, 't1');
+  assert.is(connections, 50);
+  assert.is(Math.round((inFlight ?? 0) * 10), 70);
+  rig.run(3_000);
+  const [later] = rig.engine.replyToRequest('d0', loads(1, 0)).totals;
+  assert.ok((later?.loads[0]?.[1] ?? 0) < 3);
+});
+
+test('a daemon opens no connection to a target that the sum shows at its limit', () => {
+  const opened = (connections: number): number => {
+    const rig = createFollowerRig();
+    rig.run(100);
+    tellPrimary(rig, 't1');
+    tellTotal(rig, connections, 0);
+    for (let at = 0; at < 4; at += 1) {
+      openSession(rig, `w${at}`, 'bookings');
+      rig.submit(`w${at}`, { kind: 'begin', readOnly: false });
+      rig.submit(`w${at}`, { kind: 'write', text: 'WRITE 1 x' });
+    }
+    rig.run(60);
+    return rig.connectionsAt('t1');
+  };
+  assert.ok(opened(0) > 1);
+  assert.is(opened(5), 1);
+});
+
+test('reads avoid the target that the sum shows busy', () => {
+  const rig = createFollowerRig();
+  rig.run(100);
+  tellPrimary(rig, 't1');
+  const totals = [{ group: 'g', loads: [['t2', 4, 4] as const] }];
+  for (let at = 0; at < 12; at += 1) {
+    rig.engine.samplesReceived({ samples: [], totals }, rig.now());
+    tellPrimary(rig, 't1');
+    rig.submit('s', { kind: 'read', text: 'READ 1' });
+    openSession(rig, `r${at}`, 'loops');
+    rig.submit(`r${at}`, { kind: 'read', text: 'READ 1' });
+    rig.run(100);
+  }
+  const [, busy, free] = rig.targets;
+  assert.ok((free?.executed.length ?? 0) > 2 * (busy?.executed.length ?? 0));
+});
+
 test.run();
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -1,7 +1,8 @@
 import type { Millis } from '@rosedeck/shared';
 import { currentShare } from './connectionShare';
 import type { ShareInputs } from './connectionShare';
-import { daemonCount, connectionsOfOthers } from './fleet';
+import { daemonCount } from './fleet';
+import { connectionsOfOthers } from './otherLoads';
 import { isSampler, isScarce } from './samplers';
 import type { LossReason, TargetOp, TargetReply } from './statements';
 import type { ConnectionRow, ReplyHandler, TargetRow, World } from './tables';
@@ -16,7 +17,7 @@
   return {
     limit: target.group.connectionLimit,
     daemons: daemonCount(world),
-    heldByOthers: connectionsOfOthers(world, target.listed.id),
+    heldByOthers: connectionsOfOthers(world, target),
     planShare: world.settings.connectionPlanShare,
   };
 }
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -4,8 +4,8 @@
 import { executeInTransaction, executeRequest } from './execution';
 import { mayUsePrimary } from './fencing';
 import type { ExecutionHooks } from './requestFailures';
-import { othersInFlight } from './fleet';
-import { chooseReadTarget, checkCapacity, latencyRatioAt } from './placement';
+import { othersInFlight } from './otherLoads';
+import { chooseReadTarget, chooseTargetToOpen, checkCapacity, latencyRatioAt } from './placement';
 import type { PlacementCandidate, Capacity } from './placement';
 import { findSample, laterOf } from './sampleHistory';
 import type { GroupRow, RequestRow, TargetRow, World } from './tables';
@@ -37,7 +37,7 @@
   const inFlightLimit = target.listed.slots * world.settings.inFlightPerSlot;
   return checkCapacity({
     ownInFlight: ownInFlight(target),
-    otherInFlight: othersInFlight(world, target.listed.id),
+    otherInFlight: othersInFlight(world, target),
     inFlightLimit,
     sinceDoneMs: now - target.lastStatementDoneAt,
     usualMs: target.group.runMs.read.value,
@@ -128,9 +128,18 @@
   const candidates = eligible.map((target) => describeTarget(world, target, now));
   const choice = chooseReadTarget(candidates, world.settings.remoteFactor, world.random);
   if (choice) return group.targets.get(choice.id);
-  const openable = eligible.filter((target) => mayOpen(world, target, now));
-  const [best] = openable.sort((a, b) => (wanted.get(a) ?? 0) - (wanted.get(b) ?? 0));
-  if (best) wanted.set(best, (wanted.get(best) ?? 0) + 1);
+  const openable = candidates.map((candidate, at): PlacementCandidate => {
+    const target = eligible[at];
+    const opening = target ? (wanted.get(target) ?? 0) : 0;
+    return { ...candidate, ownInFlight: candidate.ownInFlight + opening };
+  });
+  const allowed = openable.filter((_, at) => {
+    const target = eligible[at];
+    return target !== undefined && mayOpen(world, target, now);
+  });
+  const best = chooseTargetToOpen(allowed, world.settings.remoteFactor, world.random);
+  const target = best && group.targets.get(best.id);
+  if (target) wanted.set(target, (wanted.get(target) ?? 0) + 1);
   return undefined;
 }
 
@@ -186,7 +195,7 @@
     sameDomain: listed.failureDomain === world.self.failureDomain,
     slots: listed.slots,
     ownInFlight: ownInFlight(target),
-    otherInFlight: othersInFlight(world, listed.id),
+    otherInFlight: othersInFlight(world, target),
     latencyRatio: latencyRatioAt(target.rating, now, world.settings.latencyDecayMs),
     idle: target.idle.length,
   };
@@ -202,7 +211,7 @@
 }
 
 function hasFreeSlot(world: World, target: TargetRow): boolean {
-  return ownInFlight(target) + othersInFlight(world, target.listed.id) < target.listed.slots;
+  return ownInFlight(target) + othersInFlight(world, target) < target.listed.slots;
 }
 
 /** Hedges a slow read at a second target, against lost replies and slow targets. */
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -6,12 +6,19 @@
 import { applyLeaderships, hearsQuorum, witnessesOf } from './fencing';
 import { applyPromotionEnd, expectPrimary } from './failover';
 import { applyPeerReport } from './fleet';
-import type { GroupLeadership, ListedDaemon, PeerReport, PeerSample } from './peerReport';
+import { recordDomainLoads, recordTotals } from './groupLoads';
+import type {
+  GroupLeadership,
+  GroupLoads,
+  ListedDaemon,
+  PeerReport,
+  SampleReply,
+} from './peerReport';
 import type { PromotionResult } from './promotionTypes';
 import { createReport } from './ownReport';
 import { enqueueRequest, shedLateRequests } from './requests';
 import { opinionReceivers } from './samplers';
-import { applyPeerSamples, collectSamples } from './sampling';
+import { applyPeerSamples, replyToRequest } from './sampling';
 import { applyStatement, closeSession, finishRequest, openSession } from './sessions';
 import type { CallerStatement, LossReason, TargetReply } from './statements';
 import type { ConnectionId, World } from './tables';
@@ -60,10 +67,10 @@
   drain: () => void;
   /** True once no session is open and the time for new ones has passed. */
   isDrained: () => boolean;
-  /** Collects the newest samples of the groups, to answer another daemon. */
-  collectSamples: (groups: readonly GroupId[]) => readonly PeerSample[];
-  /** Applies samples that were requested at `askedAt`. */
-  samplesReceived: (samples: readonly PeerSample[], askedAt: Millis) => void;
+  /** Records the loads of another daemon and collects the reply to its request. */
+  replyToRequest: (from: InstanceId, groups: readonly GroupLoads[]) => SampleReply;
+  /** Applies a sampler's reply to a request of `askedAt`. */
+  samplesReceived: (reply: SampleReply, askedAt: Millis) => void;
   /** True when every configured group that a route uses has a target. */
   hasTargetsForRoutes: () => boolean;
   /** Daemons that this daemon's reports have to reach, beside those chosen at random. */
@@ -114,6 +121,7 @@
     },
     applyPeer: (report) => {
       applyPeerReport(world, report, clock.now());
+      recordDomainLoads(world, report);
       applyLeaderships(world, report.leaderships);
       dispatchPending();
     },
@@ -183,9 +191,10 @@
       if (world.drainingSince === undefined || world.sessions.size > 0) return false;
       return clock.now() - world.drainingSince >= effectiveDrainAcceptMs(world);
     },
-    collectSamples: (groups) => collectSamples(world, groups),
-    samplesReceived: (samples, askedAt) => {
+    replyToRequest: (from, groups) => replyToRequest(world, from, groups),
+    samplesReceived: ({ samples, totals }, askedAt) => {
       applyPeerSamples(world, samples, askedAt);
+      recordTotals(world, totals);
       dispatchPending();
     },
     hasTargetsForRoutes: () => hasTargetsForRoutes(world),
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -39,18 +39,11 @@
   return Math.max(1, world.fleet.listed.length, world.fleet.peers.size + 1);
 }
 
-/** Connections that the other daemons hold at a target; undefined while none has reported. */
-export function connectionsOfOthers(world: World, target: TargetId): number | undefined {
-  return estimateOthers(world, target, 'connections');
-}
-
-/** Statements that the other daemons have in flight at a target. */
-export function othersInFlight(world: World, target: TargetId): number {
-  return estimateOthers(world, target, 'inFlight') ?? 0;
-}
-
-/** Sum over the reporting daemons, scaled up to all other daemons. */
-function estimateOthers(
+/**
+ * Load of the other daemons at a target: the sum over those that report, scaled up to all; undefined
+ * while none has reported.
+ */
+export function estimateOthers(
   world: World,
   target: TargetId,
   field: keyof TargetLoad,
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -7,10 +7,14 @@
 export type { PrimaryHealth, PromotionCandidate } from './promotionPolicy';
 export type {
   GroupLeadership,
+  GroupLoads,
   ListedDaemon,
   PeerReport,
   PeerSample,
   PrimaryOpinion,
+  SampleReply,
+  SampleRequest,
+  TargetLoads,
 } from './peerReport';
 export { isWitness, orderProgress } from './fencing';
 export * from './leadership';
--- a/packages/direct/src/ownReport.ts
+++ b/packages/direct/src/ownReport.ts
@@ -1,6 +1,8 @@
 import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
 import { listLeaderships } from './fencing';
+import { listDomainLoads, ownLoads } from './groupLoads';
 import type { PeerReport } from './peerReport';
+import { isScarce } from './samplers';
 import type { World } from './tables';
 
 /** Creates this daemon's report for the others; `view` and `storeAgeMs` are those of its view. */
@@ -16,12 +18,9 @@
     if (reachable && provenMs > world.settings.opinionMaxAgeMs) continue;
     opinions.push({ group: group.id, target: target.listed.id, reachable });
   }
-  const loads: [TargetId, number, number][] = [];
-  for (const target of world.targets.values()) {
-    const { size } = target.connections;
-    if (size > 0)
-      loads.push([target.listed.id, size, Math.round(target.smoothedInFlight * 10) / 10]);
-  }
+  const loads = [...world.groups.values()]
+    .filter((group) => !isScarce(world, group))
+    .flatMap(ownLoads);
   return {
     name: world.self.name,
     config: world.config?.version ?? 0,
@@ -29,6 +28,7 @@
     storeAgeMs: Math.round(storeAgeMs),
     opinions,
     loads,
+    groupLoads: listDomainLoads(world),
     leaderships: listLeaderships(world),
   };
 }
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -16,6 +16,47 @@
   readonly reachable: boolean;
 }
 
+/** Per target: open connections and statements in flight. */
+export type TargetLoads = readonly (readonly [TargetId, number, number])[];
+
+/** Loads at the targets of one group. */
+export interface GroupLoads {
+  readonly group: GroupId;
+  readonly loads: TargetLoads;
+}
+
+/** Loads reported for one group, and when they arrived. */
+export interface LoadRow {
+  readonly at: Millis;
+  readonly loads: TargetLoads;
+}
+
+/** What a daemon knows of the others' loads at a group's targets, where connections are scarce. */
+export interface GroupLoadTable {
+  /** At the sampler: the loads of the other daemons of its failure domain. */
+  readonly byDaemon: Map<InstanceId, LoadRow>;
+  /** At the sampler: the sums of the other failure domains. */
+  readonly byDomain: Map<FailureDomain, LoadRow>;
+  /** Elsewhere: the sums of all daemons, as told by the sampler. */
+  totals?: LoadRow;
+  /** Own loads that are contained in `totals`. */
+  own: TargetLoads;
+}
+
+/** Request of a daemon to the sampler of some groups. */
+export interface SampleRequest {
+  readonly askedAt: Millis;
+  /** The groups, each with the loads of the requesting daemon. */
+  readonly groups: readonly GroupLoads[];
+}
+
+/** Reply of a sampler. */
+export interface SampleReply {
+  readonly samples: readonly PeerSample[];
+  /** Sums of all daemons at the targets of the requested groups. */
+  readonly totals: readonly GroupLoads[];
+}
+
 /** Report that daemons send each other several times a second. */
 export interface PeerReport {
   readonly name: InstanceId;
@@ -26,8 +67,10 @@
   /** Age of the newest contact of any daemon with the store, as far as known. */
   readonly storeAgeMs: Millis;
   readonly opinions: readonly PrimaryOpinion[];
-  /** Per target: open connections and statements in flight. */
-  readonly loads: readonly (readonly [TargetId, number, number])[];
+  /** Own loads, without those of groups whose samplers sum them up. */
+  readonly loads: TargetLoads;
+  /** Sums of the sender's failure domain, for the groups that it samples. */
+  readonly groupLoads: readonly GroupLoads[];
   /** Newest leaderships, where the platform does not fence promotions; else empty. */
   readonly leaderships: readonly GroupLeadership[];
 }
--- a/packages/direct/src/placement.ts
+++ b/packages/direct/src/placement.ts
@@ -48,6 +48,32 @@
   return best;
 }
 
+/** Cost factor of a connection to the primary for reads; other work may need it more. */
+const PRIMARY_FACTOR = 2;
+
+/**
+ * Chooses the target to which a connection is opened for a read that no idle one can serve. Load
+ * pattern: with more daemons than connections nearly every read opens one, so that this choice
+ * places it; taken without regard to load it gave one target more than twice the mean.
+ */
+export function chooseTargetToOpen(
+  candidates: readonly PlacementCandidate[],
+  remoteFactor: number,
+  random: () => number,
+): PlacementCandidate | undefined {
+  let best: PlacementCandidate | undefined;
+  let bestCost = Infinity;
+  for (const candidate of candidates) {
+    const preference = candidate.isPrimary ? PRIMARY_FACTOR : 1;
+    const cost =
+      placementCost(candidate, remoteFactor) * preference * (1 + PLACEMENT_JITTER * random());
+    if (cost >= bestCost) continue;
+    best = candidate;
+    bestCost = cost;
+  }
+  return best;
+}
+
 /** Largest jitter, as a share of the cost. */
 const PLACEMENT_JITTER = 0.15;
 
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -4,7 +4,7 @@
 import type { Route } from './configuration';
 import { isUsable, mayWrite } from './dispatch';
 import { failRequest, mayHaveRun } from './requestFailures';
-import { othersInFlight } from './fleet';
+import { othersInFlight } from './otherLoads';
 import type { ExecutionHooks } from './requestFailures';
 import { allowedConnections } from './connections';
 import type { Access } from './statements';
@@ -133,7 +133,7 @@
 /** Statements of this daemon that may be in flight at a target. */
 function inFlightShare(world: World, target: TargetRow): number {
   const inFlightLimit = target.listed.slots * world.settings.inFlightPerSlot;
-  return Math.max(1, inFlightLimit - othersInFlight(world, target.listed.id));
+  return Math.max(1, inFlightLimit - othersInFlight(world, target));
 }
 
 /** Refuses a queued request, with a retry-after time. */
--- a/packages/direct/src/sampling.ts
+++ b/packages/direct/src/sampling.ts
@@ -1,5 +1,6 @@
 import type { GroupId, InstanceId, Millis } from '@rosedeck/shared';
-import type { PeerSample } from './peerReport';
+import { ownLoads, recordDaemonLoads, totalLoads } from './groupLoads';
+import type { GroupLoads, PeerSample, SampleReply } from './peerReport';
 import { adoptPrimary } from './primaryTracking';
 import { addSample } from './sampleHistory';
 import { findSampler, isScarce } from './samplers';
@@ -19,7 +20,7 @@
 
 /** Requests samples of the groups that this daemon does not sample itself. */
 export function runSampling(world: World, now: Millis): void {
-  const requests = new Map<InstanceId, GroupId[]>();
+  const requests = new Map<InstanceId, GroupLoads[]>();
   for (const group of world.groups.values()) {
     if (now - group.lastRequestAt > MAX_IDLE_MS) continue;
     const intervalMs = isUnsure(group, now) ? UNSURE_INTERVAL_MS : REQUEST_INTERVAL_MS;
@@ -28,9 +29,12 @@
     const sampler = findSampler(world, group.id);
     if (sampler === undefined || sampler === world.self.name) continue;
     group.samplesRequestedAt = now;
-    requests.set(sampler, [...(requests.get(sampler) ?? []), group.id]);
+    group.loads.own = ownLoads(group);
+    const request = { group: group.id, loads: group.loads.own };
+    requests.set(sampler, [...(requests.get(sampler) ?? []), request]);
   }
-  for (const [sampler, groups] of requests) world.io.requestSamples(sampler, groups, now);
+  for (const [sampler, groups] of requests)
+    world.io.requestSamples(sampler, { askedAt: now, groups });
 }
 
 /** True when the group's primary may have been replaced, or is not known. */
@@ -41,8 +45,24 @@
   return now - seenAt > UNSURE_AGE_MS;
 }
 
-/** Collects the newest samples of the groups, to answer another daemon. */
-export function collectSamples(world: World, groups: readonly GroupId[]): PeerSample[] {
+/** Records the loads of another daemon and collects the reply to its request. */
+export function replyToRequest(
+  world: World,
+  from: InstanceId,
+  groups: readonly GroupLoads[],
+): SampleReply {
+  for (const { group: id, loads } of groups) {
+    const group = world.groups.get(id);
+    if (group) recordDaemonLoads(world, group, from, loads);
+  }
+  const ids = groups.map(({ group }) => group);
+  return {
+    samples: collectSamples(world, ids),
+    totals: ids.flatMap((id) => totalLoads(world, id)),
+  };
+}
+
+function collectSamples(world: World, groups: readonly GroupId[]): PeerSample[] {
   const now = world.clock.now();
   return groups.flatMap((id) => {
     const group = world.groups.get(id);
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -12,7 +12,7 @@
 import type { DirectConfig, ListedTarget, Route } from './configuration';
 import type { DirectLogEvent } from './logEvents';
 import type { Leadership } from './leadership';
-import type { FleetRow } from './peerReport';
+import type { FleetRow, GroupLoadTable, SampleRequest } from './peerReport';
 import type { Promotion } from './promotionTypes';
 import type { LatencyRating } from './placement';
 import type { SampleHistory } from './sampleHistory';
@@ -51,7 +51,7 @@
    */
   promote: (group: GroupId, target: TargetId, term: number) => void;
   /** Requests samples from another daemon; a reply, if any, arrives as `samplesReceived`. */
-  requestSamples: (peer: InstanceId, groups: readonly GroupId[], askedAt: Millis) => void;
+  requestSamples: (peer: InstanceId, request: SampleRequest) => void;
   /** Requests a call of `wake` after a time; an earlier call does no harm. */
   wakeAfter: (ms: Millis) => void;
   log: (event: DirectLogEvent) => void;
@@ -162,6 +162,7 @@
   /** The primary that a newer claim replaces, until it has stepped down. */
   replaced?: ReplacedPrimary;
   readonly samples: SampleHistory;
+  readonly loads: GroupLoadTable;
   readonly queue: RequestRow[];
   lastRequestAt: Millis;
   /** When a request was last refused, or waited in the queue at a tick. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -1,6 +1,7 @@
 import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
 import type { DirectConfig, ListedTarget } from './configuration';
 import { loseConnection } from './connections';
+import { createGroupLoads } from './groupLoads';
 import type { GroupRow, TargetRow, World } from './tables';
 
 /** Initial values of the moving averages, in milliseconds. */
@@ -31,6 +32,7 @@
     term: 0,
     leaderTerm: 0,
     samples: [],
+    loads: createGroupLoads(),
     queue: [],
     lastRequestAt: world.clock.now(),
     contested: false,
