--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -160,7 +160,7 @@
   old.silent = true;
   rig.reset(old);
   rig.run(900);
-  rig.engine.promotionEnded('g', 'ordered');
+  rig.engine.promotionEnded('g', 't2', 'ordered');
   rig.run(300);
   rig.promote(next);
   rig.run(300);
@@ -314,4 +314,22 @@
   assert.is(remainingWaitMs(60, 30), 50);
 });
 
+test('the late result of a promotion does not end the next one', () => {
+  const rig = createWarmRig();
+  if (rig.targets[0]) {
+    rig.targets[0].refusing = true;
+    rig.targets[0].silent = true;
+    rig.reset(rig.targets[0]);
+  }
+  rig.run(900);
+  const [first] = rig.promotions;
+  const group = rig.engine.world.groups.get('g');
+  if (!first || !group) throw new Error('no promotion');
+  group.promotion = { reason: 'gone', startedAt: rig.now(), stage: 'ordered', candidate: 't9' };
+  rig.engine.promotionEnded('g', first.target, 'unavailable');
+  assert.is(group.promotion.candidate, 't9');
+  rig.engine.promotionEnded('g', first.target, 'ordered');
+  assert.is(group.expectedPrimary?.target, first.target);
+});
+
 test.run();
--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -181,6 +181,22 @@
   assert.is(rig.promotionTerms[0], 2);
 });
 
+test('the side of a split without a quorum claims no promotion', () => {
+  const promotionsHearing = (names: readonly string[]): number => {
+    const rig = createUnfencedRig();
+    const [old] = rig.targets;
+    if (!old) throw new Error('no target');
+    hearOthers(rig, names, 800);
+    old.refusing = true;
+    old.silent = true;
+    rig.reset(old);
+    hearOthers(rig, names, 6_000);
+    return rig.promotions.length;
+  };
+  assert.is(promotionsHearing(['d2']), 0);
+  assert.ok(promotionsHearing(['d2', 'd3']) > 0);
+});
+
 test('the promotion of a lost primary names a term above all that are known', () => {
   const rig = createUnfencedRig();
   const [old, second] = rig.targets;
--- a/packages/direct/__tests__/load.spec.ts
+++ b/packages/direct/__tests__/load.spec.ts
@@ -194,7 +194,7 @@
     { database: 'beats', perSecond: 120, statement: READ },
   ];
   runLoad(rig, streams, 1_000);
-  rig.engine.promotionEnded('g', 'ordered');
+  rig.engine.promotionEnded('g', rig.promotions[0]?.target ?? '', 'ordered');
   rig.promote(next);
   rig.run(200);
   const { bookings, beats } = runLoad(rig, streams, 3_000);
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -57,7 +57,7 @@
   claimsRead: (sentAt: Millis) => void;
   /** True when the store has to be read for claims, as too few witnesses are heard. */
   needsClaims: () => boolean;
-  promotionEnded: (group: GroupId, result: PromotionResult) => void;
+  promotionEnded: (group: GroupId, target: TargetId, result: PromotionResult) => void;
   /** The process was suspended or the time of day was set: recorded times may be wrong. */
   timeJumped: (byMs: Millis) => void;
   tick: () => void;
@@ -166,9 +166,9 @@
       dispatchPending();
     },
     needsClaims: () => !world.settings.promotionsFenced && !hearsQuorum(world, clock.now()),
-    promotionEnded: (id, result) => {
+    promotionEnded: (id, target, result) => {
       const group = world.groups.get(id);
-      if (group) applyPromotionEnd(world, group, result, clock.now());
+      if (group) applyPromotionEnd(world, group, target, result, clock.now());
       dispatchPending();
     },
     timeJumped: (byMs) => {
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,7 +1,7 @@
 import { formatPosition, positionOrd } from '@rosedeck/shared';
 import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './dispatch';
-import { driveStepDown } from './fencing';
+import { driveStepDown, mayClaim } from './fencing';
 import { countOpinions } from './fleet';
 import type { Opinions } from './fleet';
 import { isCurrent } from './leadership';
@@ -100,6 +100,10 @@
   now: Millis,
 ): void {
   if (world.drainingSince !== undefined) return;
+  if (!mayClaim(world, now)) {
+    group.promotionReasonSince = undefined;
+    return;
+  }
   const opinions = countOpinions(world, group.id, primary?.listed.id, now);
   trackContested(world, group, opinions);
   const reason = findPromotionReason({
@@ -243,19 +247,13 @@
 export function applyPromotionEnd(
   world: World,
   group: GroupRow,
+  candidate: TargetId,
   result: PromotionResult,
   now: Millis,
 ): void {
-  const { promotion } = group;
-  world.io.log({
-    type: 'promotion_ended',
-    group: group.id,
-    candidate: promotion?.candidate,
-    outcome: result,
-  });
-  group.promotion = undefined;
-  const candidate = promotion?.candidate;
-  if (candidate === undefined) return;
+  world.io.log({ type: 'promotion_ended', group: group.id, candidate, outcome: result });
+  // The result of an earlier promotion, which took too long, does not end the present one.
+  if (group.promotion?.candidate === candidate) group.promotion = undefined;
   if (result === 'ordered' || result === 'unknown') {
     expectPrimary(world, group, candidate, now);
     return;
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -39,6 +39,15 @@
   return heard.length >= quorumOf(witnesses.length);
 }
 
+/**
+ * Whether this daemon may claim a promotion. Without a fence of the platform a claim stops all
+ * daemons that learn of it, and its order needs a quorum. Load pattern: a split in which the side
+ * without a quorum still reaches the store; the other side goes on with the old primary.
+ */
+export function mayClaim(world: World, now: Millis): boolean {
+  return world.settings.promotionsFenced || hearsQuorum(world, now);
+}
+
 /**
  * True while this daemon would have learned of a newer claim: from a quorum of witnesses, or from
  * the store, which a claim reaches before its promotion is ordered.
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -111,7 +111,7 @@
   | {
       readonly type: 'promotion_ended';
       readonly group: GroupId;
-      readonly candidate?: TargetId;
+      readonly candidate: TargetId;
       readonly outcome: string;
     }
   | {
