--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { samplersOf } from '../src/index';
+import { samplersOf, scarceIdleTimeoutMs } from '../src/index';
 import type { DirectSettings, ListedDaemon, PeerReport } from '../src/index';
 import { createRig, openSession } from './rig';
 import type { Rig } from './rig';
@@ -348,6 +348,35 @@
   assert.is(opened(5), 1);
 });
 
+test('idle connections to a target are closed as it fills up, so that restarts find room', () => {
+  const keptWith = (connections: number): number => {
+    const rig = createFollowerRig();
+    rig.run(100);
+    tellPrimary(rig, 't1');
+    tellTotal(rig, 0, 0);
+    const write = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+    rig.run(60);
+    assert.is(rig.answerOf(write)?.answer.kind, 'done');
+    tellTotal(rig, connections, 0);
+    rig.run(200);
+    return rig.connectionsAt('t1');
+  };
+  assert.is(keptWith(1), 1);
+  assert.is(keptWith(3), 0);
+});
+
+test('the targets of a fleet that loses power have half of their connections free', () => {
+  // Each of 195 daemons uses a target about once in two seconds and keeps what the policy allows.
+  const limit = 117;
+  let held = 0;
+  for (let round = 0; round < 200; round += 1) {
+    const timeoutMs = scarceIdleTimeoutMs({ adaptedMs: 2_000, limit, held });
+    held += 0.2 * (Math.min(195, (195 * timeoutMs) / 2_000 + 10) - held);
+  }
+  assert.ok(held < 0.6 * limit, `${held} connections`);
+  assert.is(scarceIdleTimeoutMs({ adaptedMs: 900, limit }), 900);
+});
+
 test('reads avoid the target that the sum shows busy', () => {
   const rig = createFollowerRig();
   rig.run(100);
--- a/packages/direct/src/connectionShare.ts
+++ b/packages/direct/src/connectionShare.ts
@@ -1,3 +1,5 @@
+import type { Millis } from '@rosedeck/shared';
+
 /** Inputs of a daemon's connection share: the connections to one target that it may hold. */
 export interface ShareInputs {
   /** Connections that the target accepts from all daemons. */
@@ -26,3 +28,31 @@
   // Borrows half of the unused connections, since other daemons may borrow at the same time.
   return Math.max(base, Math.floor(base + Math.max(0, unused - base) / 2));
 }
+
+/** Inputs of the idle timeout of a connection to a target with fewer connections than daemons. */
+export interface IdleTimeoutInputs {
+  /** Timeout that follows what the target has accepted and refused of late. */
+  readonly adaptedMs: Millis;
+  /** Connections that the target accepts from all daemons. */
+  readonly limit: number;
+  /** Connections that all daemons hold there, as last summed up; absent: unknown. */
+  readonly held?: number;
+}
+
+/** Share of the limit up to which idle connections are kept for their whole timeout. */
+const KEEP_IDLE_SHARE = 0.4;
+
+/** Share of the limit from which idle connections are closed at once. */
+const CLOSE_IDLE_SHARE = 0.6;
+
+/**
+ * Idle timeout of a scarce connection. Load pattern: hundreds of daemons lose power with the targets
+ * filled up by idle connections. Those of the dead count against the limit for seconds, and the
+ * daemons that start anew are refused; so a good part of the limit is left free.
+ */
+export function scarceIdleTimeoutMs(inputs: IdleTimeoutInputs): Millis {
+  const { adaptedMs, limit, held } = inputs;
+  if (held === undefined) return adaptedMs;
+  const room = (CLOSE_IDLE_SHARE - held / limit) / (CLOSE_IDLE_SHARE - KEEP_IDLE_SHARE);
+  return adaptedMs * Math.min(1, Math.max(0, room));
+}
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -1,5 +1,5 @@
 import type { Millis } from '@rosedeck/shared';
-import { currentShare } from './connectionShare';
+import { currentShare, scarceIdleTimeoutMs } from './connectionShare';
 import type { ShareInputs } from './connectionShare';
 import { daemonCount } from './fleet';
 import { connectionsOfOthers } from './otherLoads';
@@ -212,7 +212,7 @@
 /**
  * Whether an idle connection is closed. Where there are more daemons than connections, the idle
  * timeout adapts to the target's limit: it is halved when the target refuses a connection for its
- * limit, and grows with each connection that the target accepts.
+ * limit, and grows with each connection that the target accepts; it is cut as the target fills up.
  */
 function isSurplus(world: World, row: ConnectionRow, now: Millis): boolean {
   const { target } = row;
@@ -221,7 +221,10 @@
     return idleMs > world.settings.surplusIdleMs && target.connections.size > MIN_POOL_SIZE;
   const isSampling = target.group.primary === target.listed.id && isSampler(world, target.group);
   if (isSampling && target.connections.size === 1) return false;
-  return idleMs > target.idleTimeoutMs;
+  const others = connectionsOfOthers(world, target);
+  const held = others === undefined ? undefined : others + target.connections.size;
+  const { connectionLimit: limit } = target.group;
+  return idleMs > scarceIdleTimeoutMs({ adaptedMs: target.idleTimeoutMs, limit, held });
 }
 
 /** Bounds of the idle timeout of scarce connections, in milliseconds. */
