fix(cli): config apply without an address or a token is no unknown outcome

Cause: the missing option looked like a daemon that did not answer; the command tried twice and ended with 'outcome unknown', exit 5. Now it says what is missing, exit 1. A test that failed first.

--- a/packages/cli/__tests__/cli.spec.ts
+++ b/packages/cli/__tests__/cli.spec.ts
@@ -120,4 +120,11 @@
   assert.is((await run('status', '--at', '127.0.0.1:1', '--token', 'token')).code, 5);
 });
 
+test('config apply without an address or a token sends nothing and says what is missing', async () => {
+  const file = writeFile('patch.toml', 'limits = {}\n');
+  const { code, err } = await run('config', 'apply', '--patch', file);
+  assert.is(code, 1);
+  assert.is(err, 'error: --at HOST:PORT and --token TOKEN are required\n');
+});
+
 test.run();
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -6,6 +6,8 @@
 /** Time limit for a reply; a change may wait for daemons that cannot be reached. */
 const CALL_TIMEOUT_MS = 10_000;
 
+const ADDRESS = /^(.+):(\d+)$/;
+
 /** Body of an error reply. */
 interface ErrorBody {
   readonly error?: string;
@@ -26,20 +28,23 @@
 
   json = Option.Boolean('--json', false, { description: 'print JSON' });
 
+  /** True when a daemon and a token are given; else prints what is missing. */
+  protected hasAddress(): boolean {
+    if (ADDRESS.test(this.at ?? '') && this.token !== undefined) return true;
+    this.printError('--at HOST:PORT and --token TOKEN are required');
+    return false;
+  }
+
   /** Sends a request to the daemon; on failure, prints the error and resolves with undefined. */
   protected async sendRequest(
     method: string,
     path: string,
     body?: unknown,
   ): Promise<JsonReply | undefined> {
-    const address = /^(.+):(\d+)$/.exec(this.at ?? '');
-    if (!address || this.token === undefined) {
-      this.printError('--at HOST:PORT and --token TOKEN are required');
-      return undefined;
-    }
-    const [, host = '', port] = address;
+    if (!this.hasAddress()) return undefined;
+    const [, host = '', port] = ADDRESS.exec(this.at ?? '') ?? [];
     const client = createJsonClient(host, Number(port), {
-      headers: { authorization: `Bearer ${this.token}` },
+      headers: { authorization: `Bearer ${this.token ?? ''}` },
     });
     try {
       return await client.send(method, path, body, CALL_TIMEOUT_MS);
