--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -1,27 +1,31 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { isCurrent, mayOrder, orderProgress, supersedes } from '../src/index';
-import type { GroupLeadership, OrderInputs } from '../src/index';
+import type { GroupLeadership, OrderInputs, PeerReport } from '../src/index';
 import { witnessesOf } from '../src/fencing';
 import { createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
 const OTHERS = ['d2', 'd3', 'd4', 'd5'];
 
+/** A report of another daemon without loads or opinions. */
+function createReport(name: string, leaderships: readonly GroupLeadership[] = []): PeerReport {
+  return {
+    name,
+    config: 1,
+    view: 1,
+    storeAgeMs: 0,
+    opinions: [],
+    loads: [],
+    groupLoads: [],
+    leaderships,
+  };
+}
+
 /** Reports of the other daemons, at least as often as a lease needs. */
 function hearOthers(rig: Rig, names: readonly string[], ms: number): void {
   for (let at = 0; at < ms; at += 100) {
-    for (const name of names)
-      rig.engine.applyPeer({
-        name,
-        config: 1,
-        view: 1,
-        opinions: [],
-        loads: [],
-        storeAgeMs: 0,
-        groupLoads: [],
-        leaderships: [],
-      });
+    for (const name of names) rig.engine.applyPeer(createReport(name));
     rig.run(100);
   }
 }
@@ -63,16 +67,7 @@
 
 test('a claim that another daemon reports has the same effect', () => {
   const rig = createUnfencedRig();
-  rig.engine.applyPeer({
-    name: 'd2',
-    config: 1,
-    view: 1,
-    opinions: [],
-    loads: [],
-    storeAgeMs: 0,
-    groupLoads: [],
-    leaderships: [claim(2, 't2')],
-  });
+  rig.engine.applyPeer(createReport('d2', [claim(2, 't2')]));
   assert.is.not(writeOutcome(rig), 'done');
 });
 
--- a/packages/direct/src/dispatch.ts
+++ b/packages/direct/src/dispatch.ts
@@ -125,19 +125,17 @@
   const eligible = findEligible(world, group, row, after, now).filter((target) =>
     hasCapacity(world, target, now),
   );
+  const { remoteFactor } = world.settings;
   const candidates = eligible.map((target) => describeTarget(world, target, now));
-  const choice = chooseReadTarget(candidates, world.settings.remoteFactor, world.random);
+  const choice = chooseReadTarget(candidates, remoteFactor, world.random);
   if (choice) return group.targets.get(choice.id);
-  const openable = candidates.map((candidate, at): PlacementCandidate => {
-    const target = eligible[at];
-    const opening = target ? (wanted.get(target) ?? 0) : 0;
-    return { ...candidate, ownInFlight: candidate.ownInFlight + opening };
-  });
-  const allowed = openable.filter((_, at) => {
-    const target = eligible[at];
-    return target !== undefined && mayOpen(world, target, now);
-  });
-  const best = chooseTargetToOpen(allowed, world.settings.remoteFactor, world.random);
+  const openable = eligible
+    .filter((target) => mayOpen(world, target, now))
+    .map((target): PlacementCandidate => {
+      const described = describeTarget(world, target, now);
+      return { ...described, ownInFlight: described.ownInFlight + (wanted.get(target) ?? 0) };
+    });
+  const best = chooseTargetToOpen(openable, remoteFactor, world.random);
   const target = best && group.targets.get(best.id);
   if (target) wanted.set(target, (wanted.get(target) ?? 0) + 1);
   return undefined;
--- a/packages/direct/src/placement.ts
+++ b/packages/direct/src/placement.ts
@@ -35,17 +35,8 @@
   remoteFactor: number,
   random: () => number,
 ): PlacementCandidate | undefined {
-  let best: PlacementCandidate | undefined;
-  let bestCost = Infinity;
-  for (const candidate of candidates) {
-    if (candidate.idle < (candidate.isPrimary ? 2 : 1)) continue;
-    // Jitter keeps daemons with the same data from choosing the same target.
-    const cost = placementCost(candidate, remoteFactor) * (1 + PLACEMENT_JITTER * random());
-    if (cost >= bestCost) continue;
-    best = candidate;
-    bestCost = cost;
-  }
-  return best;
+  const available = candidates.filter(({ idle, isPrimary }) => idle >= (isPrimary ? 2 : 1));
+  return chooseCheapest(available, (one) => placementCost(one, remoteFactor), random);
 }
 
 /** Cost factor of a connection to the primary for reads; other work may need it more. */
@@ -60,13 +51,22 @@
   candidates: readonly PlacementCandidate[],
   remoteFactor: number,
   random: () => number,
+): PlacementCandidate | undefined {
+  const costOf = (one: PlacementCandidate): number =>
+    placementCost(one, remoteFactor) * (one.isPrimary ? PRIMARY_FACTOR : 1);
+  return chooseCheapest(candidates, costOf, random);
+}
+
+/** The candidate of lowest cost; jitter keeps daemons with the same data from choosing the same. */
+function chooseCheapest(
+  candidates: readonly PlacementCandidate[],
+  costOf: (candidate: PlacementCandidate) => number,
+  random: () => number,
 ): PlacementCandidate | undefined {
   let best: PlacementCandidate | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
-    const preference = candidate.isPrimary ? PRIMARY_FACTOR : 1;
-    const cost =
-      placementCost(candidate, remoteFactor) * preference * (1 + PLACEMENT_JITTER * random());
+    const cost = costOf(candidate) * (1 + PLACEMENT_JITTER * random());
     if (cost >= bestCost) continue;
     best = candidate;
     bestCost = cost;
