--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -123,6 +123,17 @@
   assert.is.not(answer?.kind, 'done');
 });
 
+test('a read that a replaced primary has run is not reported as not run', () => {
+  const rig = createUnfencedRig();
+  if (rig.targets[0]) rig.targets[0].runMs = 100;
+  const id = rig.submit('s', { kind: 'read', text: 'READ 1' });
+  rig.run(50);
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  hearOthers(rig, OTHERS, 1_200);
+  const answer = rig.answerOf(id)?.answer;
+  assert.is(answer?.kind === 'failed' && answer.failure.kind, 'read_interrupted');
+});
+
 test('an open transaction at the old primary is ended at its next statement', () => {
   const rig = createUnfencedRig();
   rig.submit('s', { kind: 'begin', readOnly: false });
--- a/packages/direct/src/requestFailures.ts
+++ b/packages/direct/src/requestFailures.ts
@@ -23,9 +23,9 @@
 /** Pause before a busy target is tried again. */
 const BUSY_RETRY_MS: Millis = 15;
 
-/** True while a try is without a reply, so that the statement may have run. */
+/** True when a try is without a reply, or its result was not used: the statement may have run. */
 export function mayHaveRun(row: RequestRow): boolean {
-  return row.unansweredTries > 0;
+  return row.unansweredTries > 0 || row.hasUnusedResult;
 }
 
 /** Handles a reply by which a target refused or failed an operation of a request. */
@@ -103,6 +103,7 @@
   if (isPinned) transaction.connection = undefined;
   if (!isWrapped) loseConnection(world, connection, 'closed', world.clock.now());
   row.lastError = 'primary replaced';
+  row.hasUnusedResult = true;
   if (row.access === 'commit' || (row.access === 'write' && !transaction))
     failRequest(world, hooks, row, 'outcome_unknown', detail);
   else if (transaction) failRequest(world, hooks, row, 'transaction_lost', detail);
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -45,6 +45,7 @@
     tries: 0,
     running: new Set(),
     unansweredTries: 0,
+    hasUnusedResult: false,
     lastSentAt: now,
     notBefore: now,
     lastError: '',
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -250,6 +250,8 @@
   readonly running: Set<ConnectionRow>;
   /** Sent tries without a reply: running ones, and those whose connection ended. */
   unansweredTries: number;
+  /** A try has run at a target that may have been replaced as the primary before. */
+  hasUnusedResult: boolean;
   firstSentAt?: Millis;
   lastSentAt: Millis;
   /** When the next try may start. */
