--- a/packages/direct/__tests__/watchers.spec.ts
+++ b/packages/direct/__tests__/watchers.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { mustWatch, watchersOf } from '../src/index';
+import { createRig, openSession } from './rig';
 
 const fleetOf = (count: number) =>
   Array.from({ length: count }, (_, at) => ({
@@ -52,4 +53,20 @@
   assert.ok(mustWatch({ ...input, listed: false }));
 });
 
+test('the timed systems of a large fleet run seldom while nothing is under way', () => {
+  const large = createRig();
+  large.engine.applyDirectory(fleetOf(195));
+  large.run(200);
+  assert.is(large.engine.nextTickMs(), 100);
+  openSession(large, 's', 'loops');
+  large.submit('s', { kind: 'read', text: 'READ 1' });
+  assert.is(large.engine.nextTickMs(), 25);
+  large.run(100);
+  assert.is(large.engine.nextTickMs(), 100);
+  const small = createRig();
+  small.engine.applyDirectory(fleetOf(8));
+  small.run(200);
+  assert.is(small.engine.nextTickMs(), 25);
+});
+
 test.run();
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -23,7 +23,7 @@
 import type { CallerStatement, LossReason, TargetReply } from './statements';
 import type { ConnectionId, World } from './tables';
 import { applyConfig, applyTargets, hasTargetsForRoutes, resetAfterTimeJump } from './targetList';
-import { effectiveDrainAcceptMs, runTick } from './tick';
+import { effectiveDrainAcceptMs, nextTickMs, runTick } from './tick';
 import { watchersOf } from './watchers';
 import { createWorld } from './world';
 import type { EngineOptions } from './world';
@@ -61,6 +61,8 @@
   /** The process was suspended or the time of day was set: recorded times may be wrong. */
   timeJumped: (byMs: Millis) => void;
   tick: () => void;
+  /** Time until `tick` is to be called again. */
+  nextTickMs: () => Millis;
   /** Dispatches queued requests; called as requested by `wakeAfter`. */
   wake: () => void;
   /** Starts to close sessions as they become idle. */
@@ -178,6 +180,7 @@
       runTick(world, hooks);
       dispatchPending();
     },
+    nextTickMs: () => nextTickMs(world),
     wake: () => {
       for (const group of world.groups.values())
         if (group.queue.length > 0) world.groupsToDispatch.add(group);
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -14,6 +14,28 @@
 /** Sessions closed per tick while draining, so that their callers do not return all at once. */
 const MAX_CLOSED_PER_TICK = 8;
 
+/** Interval of the timed systems in a large fleet while nothing is under way here. */
+const IDLE_TICK_MS: Millis = 100;
+
+/**
+ * Time until the timed systems run next. Load pattern: hundreds of daemons with a few statements a
+ * second each, whose timers took more processor time than their statements.
+ */
+export function nextTickMs(world: World): Millis {
+  const { settings, fleet, running } = world;
+  const isLargeFleet = fleet.watchers.size < fleet.listed.length;
+  if (!isLargeFleet || running.size > 0 || world.drainingSince !== undefined)
+    return settings.tickMs;
+  const isBusy = [...world.groups.values()].some(
+    (group) =>
+      group.queue.length > 0 ||
+      group.promotion !== undefined ||
+      group.expectedPrimary !== undefined ||
+      group.primaryDownSince !== undefined,
+  );
+  return isBusy ? settings.tickMs : IDLE_TICK_MS;
+}
+
 /** Runs the timed systems once. */
 export function runTick(world: World, hooks: ExecutionHooks): void {
   const now = world.clock.now();
