fix(direct): log heard and silent daemons only where each hears all others

Cause: in a fleet of hundreds each report counted as heard and each pause of 2 s as silent, about 17 lines a second and daemon that told nothing. A test that failed first.

--- a/packages/direct/__tests__/fleet.spec.ts
+++ b/packages/direct/__tests__/fleet.spec.ts
@@ -34,6 +34,19 @@
   assert.is(connectionsOfOthers(engine.world, 't2'), 3);
 });
 
+test('daemons heard and silent are logged only where each hears all others', () => {
+  const eventsIn = (count: number): number => {
+    const rig = createRig();
+    const names = Array.from({ length: count }, (_, at) => `d${at}`);
+    rig.engine.applyDirectory(names.map((name) => ({ name, failureDomain: 'a' })));
+    rig.engine.applyPeer(reportOf('d2', []));
+    rig.run(3_000);
+    return rig.events.filter(({ type }) => type === 'peer_heard' || type === 'peer_silent').length;
+  };
+  assert.is(eventsIn(8), 2);
+  assert.is(eventsIn(195), 0);
+});
+
 test('a time jump leaves nothing of earlier loads and failures', () => {
   const rig = createRig();
   const { engine } = rig;
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -18,7 +18,8 @@
 export function applyPeerReport(world: World, report: PeerReport, now: Millis): void {
   const { peers } = world.fleet;
   if (report.name === world.self.name) return;
-  if (!peers.has(report.name)) world.io.log({ type: 'peer_heard', peer: report.name });
+  if (!peers.has(report.name) && !isLargeFleet(world))
+    world.io.log({ type: 'peer_heard', peer: report.name });
   addLoads(world.fleet, peers.get(report.name)?.report, -1);
   addLoads(world.fleet, report, 1);
   peers.set(report.name, { report, at: now });
@@ -30,10 +31,15 @@
     if (now - row.at <= world.settings.peerReportMaxAgeMs) continue;
     world.fleet.peers.delete(name);
     addLoads(world.fleet, row.report, -1);
-    world.io.log({ type: 'peer_silent', peer: name });
+    if (!isLargeFleet(world)) world.io.log({ type: 'peer_silent', peer: name });
   }
 }
 
+/** True when each daemon hears only some of the others, so that their silence tells nothing. */
+export function isLargeFleet(world: World): boolean {
+  return world.fleet.watchers.size < world.fleet.listed.length;
+}
+
 /** Number of daemons that share the targets' connections, this one included. */
 export function daemonCount(world: World): number {
   return Math.max(1, world.fleet.listed.length, world.fleet.peers.size + 1);
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -4,7 +4,7 @@
 import { expireRunning } from './requestFailures';
 import type { ExecutionHooks } from './requestFailures';
 import { runFailover } from './failover';
-import { expirePeers } from './fleet';
+import { expirePeers, isLargeFleet } from './fleet';
 import { isSampler, isScarce } from './samplers';
 import { runSampling } from './sampling';
 import { closeSession, rollBackTransaction } from './sessions';
@@ -22,9 +22,8 @@
  * second each, whose timers took more processor time than their statements.
  */
 export function nextTickMs(world: World): Millis {
-  const { settings, fleet, running } = world;
-  const isLargeFleet = fleet.watchers.size < fleet.listed.length;
-  if (!isLargeFleet || running.size > 0 || world.drainingSince !== undefined)
+  const { settings, running } = world;
+  if (!isLargeFleet(world) || running.size > 0 || world.drainingSince !== undefined)
     return settings.tickMs;
   const isBusy = [...world.groups.values()].some(
     (group) =>
