--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -349,7 +349,7 @@
 });
 
 test('idle connections to a target are closed as it fills up, so that restarts find room', () => {
-  const keptWith = (connections: number): number => {
+  const keptWith = (connections: number, inFlight = 0): number => {
     const rig = createFollowerRig();
     rig.run(100);
     tellPrimary(rig, 't1');
@@ -357,12 +357,14 @@
     const write = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
     rig.run(60);
     assert.is(rig.answerOf(write)?.answer.kind, 'done');
-    tellTotal(rig, connections, 0);
+    tellTotal(rig, connections, inFlight);
     rig.run(200);
     return rig.connectionsAt('t1');
   };
   assert.is(keptWith(1), 1);
   assert.is(keptWith(3), 0);
+  // Opening it again would take a slot of the statements that wait there.
+  assert.is(keptWith(3, 9), 1);
 });
 
 test('the targets of a fleet that loses power have half of their connections free', () => {
@@ -370,11 +372,11 @@
   const limit = 117;
   let held = 0;
   for (let round = 0; round < 200; round += 1) {
-    const timeoutMs = scarceIdleTimeoutMs({ adaptedMs: 2_000, limit, held });
+    const timeoutMs = scarceIdleTimeoutMs({ adaptedMs: 2_000, limit, held, saturated: false });
     held += 0.2 * (Math.min(195, (195 * timeoutMs) / 2_000 + 10) - held);
   }
   assert.ok(held < 0.6 * limit, `${held} connections`);
-  assert.is(scarceIdleTimeoutMs({ adaptedMs: 900, limit }), 900);
+  assert.is(scarceIdleTimeoutMs({ adaptedMs: 900, limit, saturated: false }), 900);
 });
 
 test('reads avoid the target that the sum shows busy', () => {
--- a/packages/direct/src/connectionShare.ts
+++ b/packages/direct/src/connectionShare.ts
@@ -37,6 +37,8 @@
   readonly limit: number;
   /** Connections that all daemons hold there, as last summed up; absent: unknown. */
   readonly held?: number;
+  /** The target has more statements in flight than slots. */
+  readonly saturated: boolean;
 }
 
 /** Share of the limit up to which idle connections are kept for their whole timeout. */
@@ -48,11 +50,12 @@
 /**
  * Idle timeout of a scarce connection. Load pattern: hundreds of daemons lose power with the targets
  * filled up by idle connections. Those of the dead count against the limit for seconds, and the
- * daemons that start anew are refused; so a good part of the limit is left free.
+ * daemons that start anew are refused; so a good part of the limit is left free. A saturated target
+ * is left out: opening a connection again takes a slot from statements.
  */
 export function scarceIdleTimeoutMs(inputs: IdleTimeoutInputs): Millis {
-  const { adaptedMs, limit, held } = inputs;
-  if (held === undefined) return adaptedMs;
+  const { adaptedMs, limit, held, saturated } = inputs;
+  if (held === undefined || saturated) return adaptedMs;
   const room = (CLOSE_IDLE_SHARE - held / limit) / (CLOSE_IDLE_SHARE - KEEP_IDLE_SHARE);
   return adaptedMs * Math.min(1, Math.max(0, room));
 }
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -2,7 +2,7 @@
 import { currentShare, scarceIdleTimeoutMs } from './connectionShare';
 import type { ShareInputs } from './connectionShare';
 import { daemonCount } from './fleet';
-import { connectionsOfOthers } from './otherLoads';
+import { connectionsOfOthers, othersInFlight } from './otherLoads';
 import { isSampler, isScarce } from './samplers';
 import type { LossReason, TargetOp, TargetReply } from './statements';
 import type { ConnectionRow, ReplyHandler, TargetRow, World } from './tables';
@@ -224,7 +224,9 @@
   const others = connectionsOfOthers(world, target);
   const held = others === undefined ? undefined : others + target.connections.size;
   const { connectionLimit: limit } = target.group;
-  return idleMs > scarceIdleTimeoutMs({ adaptedMs: target.idleTimeoutMs, limit, held });
+  const saturated = othersInFlight(world, target) + target.smoothedInFlight > target.listed.slots;
+  const adaptedMs = target.idleTimeoutMs;
+  return idleMs > scarceIdleTimeoutMs({ adaptedMs, limit, held, saturated });
 }
 
 /** Bounds of the idle timeout of scarce connections, in milliseconds. */
