--- a/packages/cli/src/configCommands.ts
+++ b/packages/cli/src/configCommands.ts
@@ -72,7 +72,7 @@
     if (expected !== undefined && !Number.isInteger(expected)) {
       return this.refuse('--expect takes a revision number');
     }
-    if (!this.hasAddress()) return EXIT_CODES.failure;
+    if (!this.readTarget()) return EXIT_CODES.failure;
     const id = this.id ?? randomUUID();
     const change = this.patch
       ? { kind: 'patch', patch: tree.value }
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -6,7 +6,12 @@
 /** Time limit for a reply; a change may wait for daemons that cannot be reached. */
 const CALL_TIMEOUT_MS = 10_000;
 
-const ADDRESS = /^(.+):(\d+)$/;
+/** Operator port of a daemon, and the operator's token. */
+interface OperatorTarget {
+  readonly host: string;
+  readonly port: number;
+  readonly token: string;
+}
 
 /** Body of an error reply. */
 interface ErrorBody {
@@ -28,11 +33,13 @@
 
   json = Option.Boolean('--json', false, { description: 'print JSON' });
 
-  /** True when a daemon and a token are given; else prints what is missing. */
-  protected hasAddress(): boolean {
-    if (ADDRESS.test(this.at ?? '') && this.token !== undefined) return true;
+  /** The daemon and the token that were given; undefined, with an error, when one is missing. */
+  protected readTarget(): OperatorTarget | undefined {
+    const [, host, port] = /^(.+):(\d+)$/.exec(this.at ?? '') ?? [];
+    const { token } = this;
+    if (host !== undefined && token !== undefined) return { host, port: Number(port), token };
     this.printError('--at HOST:PORT and --token TOKEN are required');
-    return false;
+    return undefined;
   }
 
   /** Sends a request to the daemon; on failure, prints the error and resolves with undefined. */
@@ -41,15 +48,14 @@
     path: string,
     body?: unknown,
   ): Promise<JsonReply | undefined> {
-    if (!this.hasAddress()) return undefined;
-    const [, host = '', port] = ADDRESS.exec(this.at ?? '') ?? [];
-    const client = createJsonClient(host, Number(port), {
-      headers: { authorization: `Bearer ${this.token ?? ''}` },
-    });
+    const target = this.readTarget();
+    if (!target) return undefined;
+    const { host, port, token } = target;
+    const client = createJsonClient(host, port, { headers: { authorization: `Bearer ${token}` } });
     try {
       return await client.send(method, path, body, CALL_TIMEOUT_MS);
     } catch (cause) {
-      this.printError(`${host}:${port ?? ''} did not answer: ${String(cause)}`);
+      this.printError(`${host}:${port} did not answer: ${String(cause)}`);
       return undefined;
     } finally {
       client.close();
--- a/packages/direct/__tests__/decisions.spec.ts
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -194,7 +194,7 @@
   primaryDownMs: 1_000,
   replicasLaggingMs: 0,
   hasPeers: true,
-  confirmed: true,
+  proven: true,
   suspecting: 0,
   trusting: 0,
   elsewhere: 0,
@@ -249,7 +249,7 @@
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 300 }), undefined);
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 2_000 }), undefined);
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 5_000 }), 'nobody_leads');
-  const claimed = { ...health, confirmed: false, primaryDownMs: 9_000 };
+  const claimed = { ...health, proven: false, primaryDownMs: 9_000 };
   assert.is(findPromotionReason(claimed), undefined);
   assert.is(findPromotionReason({ ...claimed, suspecting: 2 }), 'unreachable');
   assert.is(findPromotionReason({ ...claimed, unlisted: true }), 'gone');
--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { remainingWaitMs } from '../src/index';
 import type { PeerReport } from '../src/index';
-import { createRig, openSession } from './rig';
+import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
 function createWarmRig(connectionLimit?: number): Rig {
@@ -13,18 +13,8 @@
 }
 
 /** A report of another daemon with its opinion of one target. */
-function createReport(name: string, reachable: boolean, target = 't1'): PeerReport {
-  const opinions = [{ group: 'g', target, reachable }];
-  return {
-    name,
-    config: 1,
-    view: 1,
-    opinions,
-    loads: [],
-    storeAgeMs: 0,
-    groupLoads: [],
-    leaderships: [],
-  };
+function createOpinion(name: string, reachable: boolean, target = 't1'): PeerReport {
+  return createReport(name, { opinions: [{ group: 'g', target, reachable }] });
 }
 
 /** Applies the reports every 200 ms for a time. */
@@ -61,7 +51,7 @@
   if (rig.targets[0]) rig.targets[0].silent = true;
   repeatReports(
     rig,
-    [createReport('d2', true), createReport('d3', true), createReport('d4', false)],
+    [createOpinion('d2', true), createOpinion('d3', true), createOpinion('d4', false)],
     3_000,
   );
   assert.is(rig.promotions.length, 0);
@@ -72,7 +62,7 @@
   if (rig.targets[0]) rig.targets[0].silent = true;
   repeatReports(
     rig,
-    [createReport('d2', false), createReport('d3', true), createReport('d4', false)],
+    [createOpinion('d2', false), createOpinion('d3', true), createOpinion('d4', false)],
     2_400,
   );
   assert.is(rig.promotions.length, 1);
@@ -80,7 +70,7 @@
 
 test('a primary that most daemons cannot reach gets no writes but serves reads', () => {
   const rig = createWarmRig();
-  const suspectingReports = ['d2', 'd3', 'd4'].map((name) => createReport(name, false));
+  const suspectingReports = ['d2', 'd3', 'd4'].map((name) => createOpinion(name, false));
   repeatReports(rig, suspectingReports, 400);
   const write = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
   rig.run(5);
@@ -93,7 +83,7 @@
   assert.is(rig.answerOf(read)?.answer.kind, 'done');
   repeatReports(
     rig,
-    suspectingReports.map((one) => createReport(one.name, true)),
+    suspectingReports.map((one) => createOpinion(one.name, true)),
     1_400,
   );
   const again = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
@@ -113,7 +103,7 @@
     rig.reset(target);
   }
   old.role = 'replica';
-  const reports = ['d2', 'd3'].map((name) => createReport(name, true, 't2'));
+  const reports = ['d2', 'd3'].map((name) => createOpinion(name, true, 't2'));
   rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
   repeatReports(rig, reports, 8_000);
   assert.equal(rig.promotions, []);
@@ -245,7 +235,7 @@
 
 test('the majority of a partitioned large fleet replaces the primary within three seconds', () => {
   const rig = createRigInFleet(90);
-  const suspecting = Array.from({ length: 59 }, (_, at) => createReport(`d${at + 2}`, false));
+  const suspecting = Array.from({ length: 59 }, (_, at) => createOpinion(`d${at + 2}`, false));
   if (rig.targets[0]) rig.targets[0].silent = true;
   rig.submit('s', { kind: 'read', text: 'READ 1' });
   repeatReports(rig, suspecting, 3_000);
@@ -294,7 +284,7 @@
     target.refusing = target.silent;
     if (target.silent) rig.reset(target);
   }
-  repeatReports(rig, [createReport('d2', true, 't2')], 2_000);
+  repeatReports(rig, [createOpinion('d2', true, 't2')], 2_000);
   for (let at = 0; at < 10; at += 1) {
     const session = `late${at}`;
     openSession(rig, session, 'bookings');
@@ -303,7 +293,7 @@
     const answer = rig.answerOf(write)?.answer;
     assert.is(answer?.kind === 'failed' && answer.failure.kind, 'group_unavailable');
     assert.ok(answer?.kind === 'failed' && (answer.failure.retryAfterMs ?? 0) >= 500);
-    repeatReports(rig, [createReport('d2', true, 't2')], 200);
+    repeatReports(rig, [createOpinion('d2', true, 't2')], 200);
   }
 });
 
--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -1,27 +1,13 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { isCurrent, mayOrder, orderProgress, supersedes } from '../src/index';
-import type { GroupLeadership, OrderInputs, PeerReport } from '../src/index';
-import { witnessesOf } from '../src/fencing';
-import { createRig, openSession } from './rig';
+import type { GroupLeadership, OrderInputs } from '../src/index';
+import { confirmersOf } from '../src/fencing';
+import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
 const OTHERS = ['d2', 'd3', 'd4', 'd5'];
 
-/** A report of another daemon without loads or opinions. */
-function createReport(name: string, leaderships: readonly GroupLeadership[] = []): PeerReport {
-  return {
-    name,
-    config: 1,
-    view: 1,
-    storeAgeMs: 0,
-    opinions: [],
-    loads: [],
-    groupLoads: [],
-    leaderships,
-  };
-}
-
 /** Reports of the other daemons, at least as often as a lease needs. */
 function hearOthers(rig: Rig, names: readonly string[], ms: number): void {
   for (let at = 0; at < ms; at += 100) {
@@ -52,7 +38,7 @@
   return answer?.kind === 'failed' ? answer.failure.kind : answer?.kind;
 }
 
-test('writes reach a proven primary while the witnesses are heard', () => {
+test('writes reach a proven primary while the confirmers are heard', () => {
   assert.is(writeOutcome(createUnfencedRig()), 'done');
 });
 
@@ -67,11 +53,11 @@
 
 test('a claim that another daemon reports has the same effect', () => {
   const rig = createUnfencedRig();
-  rig.engine.applyPeer(createReport('d2', [claim(2, 't2')]));
+  rig.engine.applyPeer(createReport('d2', { leaderships: [claim(2, 't2')] }));
   assert.is.not(writeOutcome(rig), 'done');
 });
 
-test('a daemon that hears neither witnesses nor the store stops using the primary', () => {
+test('a daemon that hears neither confirmers nor the store stops using the primary', () => {
   const rig = createUnfencedRig();
   rig.run(800);
   const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
@@ -81,7 +67,7 @@
   assert.is(answer?.kind === 'failed' && answer.failure.kind, 'group_unavailable');
 });
 
-test('a daemon that hears no witnesses uses the primary while it reads the claims', () => {
+test('a daemon that hears no confirmers uses the primary while it reads the claims', () => {
   const rig = createUnfencedRig();
   rig.run(800);
   assert.ok(rig.engine.needsClaims());
@@ -253,9 +239,9 @@
 const ORDER: OrderInputs = {
   steppedDown: false,
   daemons: 8,
-  confirmed: 1,
-  witnesses: 8,
-  confirmedWitnesses: 1,
+  acknowledged: 1,
+  confirmers: 8,
+  acknowledgedConfirmers: 1,
   sinceQuorumMs: 0,
   fenceWaitMs: 500,
 };
@@ -263,11 +249,11 @@
 test('a promotion is ordered once nobody can acknowledge a write of the old primary', () => {
   assert.not.ok(mayOrder(ORDER));
   assert.ok(mayOrder({ ...ORDER, steppedDown: true }));
-  assert.ok(mayOrder({ ...ORDER, confirmed: 8, confirmedWitnesses: 8 }));
-  const quorum = { ...ORDER, confirmed: 5, confirmedWitnesses: 5 };
+  assert.ok(mayOrder({ ...ORDER, acknowledged: 8, acknowledgedConfirmers: 8 }));
+  const quorum = { ...ORDER, acknowledged: 5, acknowledgedConfirmers: 5 };
   assert.not.ok(mayOrder({ ...quorum, sinceQuorumMs: 400 }));
   assert.ok(mayOrder({ ...quorum, sinceQuorumMs: 500 }));
-  const minority = { ...ORDER, confirmed: 4, confirmedWitnesses: 4, sinceQuorumMs: 9_000 };
+  const minority = { ...ORDER, acknowledged: 4, acknowledgedConfirmers: 4, sinceQuorumMs: 9_000 };
   assert.not.ok(mayOrder(minority));
 });
 
@@ -275,15 +261,58 @@
   const rig = createUnfencedRig();
   const progress = orderProgress(rig.engine.world, 'g', new Set(['d2', 'unlisted']));
   assert.is(progress.daemons, 5);
-  assert.is(progress.confirmed, 2);
+  assert.is(progress.acknowledged, 2);
+});
+
+test('an order waits for daemons that report although they are not listed', () => {
+  const rig = createUnfencedRig();
+  rig.engine.applyPeer(createReport('unlisted'));
+  const listed = new Set(OTHERS);
+  assert.is(orderProgress(rig.engine.world, 'g', listed).daemons, 6);
+  assert.not.ok(
+    mayOrder({ ...orderProgress(rig.engine.world, 'g', listed), sinceQuorumMs: 0, fenceWaitMs: 9 }),
+  );
+});
+
+test('nothing is ordered while the directory is empty', () => {
+  const rig = createRig({ promotionsFenced: false });
+  const progress = orderProgress(rig.engine.world, 'g', new Set());
+  assert.not.ok(mayOrder({ ...progress, sinceQuorumMs: 0, fenceWaitMs: 0 }));
+});
+
+test('a contested primary is used again although no quorum is heard', () => {
+  const rig = createUnfencedRig();
+  const group = rig.engine.world.groups.get('g');
+  if (!group) throw new Error('no group');
+  rig.run(900);
+  group.contested = true;
+  rig.run(100);
+  assert.not.ok(group.contested);
+});
+
+test('a new primary whose log lacks the newest entries is adopted from a sample', () => {
+  const rig = createUnfencedRig();
+  const group = rig.engine.world.groups.get('g');
+  if (!group) throw new Error('no group');
+  rig.engine.leadershipsSeen([claim(3, 't2')]);
+  group.term = 2;
+  group.samples.push({ position: { term: 2, index: 7 }, sentAt: rig.now() - 100 });
+  const position = { term: 1, index: 100 };
+  const sample = { group: 'g', primary: 't2', position, ageMs: 0, leaderTerm: 3 };
+  rig.engine.samplesReceived({ samples: [sample], totals: [] }, rig.now());
+  assert.is(group.primary, 't2');
+  assert.equal(
+    group.samples.map((one) => one.position),
+    [position],
+  );
 });
 
-test('a large fleet has nine witnesses, the same ones for all its daemons', () => {
+test('a large fleet has nine confirmers, the same ones for all its daemons', () => {
   const daemons = Array.from({ length: 90 }, (_, at) => ({ name: `d${at}`, failureDomain: 'a' }));
-  const names = witnessesOf(daemons).map(({ name }) => name);
+  const names = confirmersOf(daemons).map(({ name }) => name);
   assert.is(names.length, 9);
   assert.equal(
-    witnessesOf(daemons.toReversed()).map(({ name }) => name),
+    confirmersOf(daemons.toReversed()).map(({ name }) => name),
     names,
   );
 });
--- a/packages/direct/__tests__/fleet.spec.ts
+++ b/packages/direct/__tests__/fleet.spec.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import type { PeerReport, World } from '../src/index';
 import { daemonCount, estimateOthers } from '../src/fleet';
-import { createRig } from './rig';
+import { createReport, createRig } from './rig';
 
 const connectionsOfOthers = (world: World, target: string): number | undefined =>
   estimateOthers(world, target, 'connections');
@@ -10,16 +10,8 @@
 const othersInFlight = (world: World, target: string): number =>
   estimateOthers(world, target, 'inFlight') ?? 0;
 
-const reportOf = (name: string, loads: PeerReport['loads']): PeerReport => ({
-  name,
-  config: 1,
-  view: 1,
-  opinions: [],
-  loads,
-  storeAgeMs: 0,
-  groupLoads: [],
-  leaderships: [],
-});
+const reportOf = (name: string, loads: PeerReport['loads']): PeerReport =>
+  createReport(name, { loads });
 
 test('a new report of a daemon replaces its last one', () => {
   const rig = createRig();
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -8,6 +8,7 @@
   DirectLogEvent,
   DirectSettings,
   ListedTarget,
+  PeerReport,
   Route,
   SampleRequest,
   SessionState,
@@ -90,6 +91,21 @@
   },
 ].map((route) => ({ ...route, group: 'g', timeoutMs: 1_000 }) as Route);
 
+/** A report of another daemon that says nothing, apart from `change`. */
+export function createReport(name: string, change: Partial<PeerReport> = {}): PeerReport {
+  return {
+    name,
+    config: 1,
+    view: 1,
+    storeAgeMs: 0,
+    opinions: [],
+    loads: [],
+    groupLoads: [],
+    leaderships: [],
+    ...change,
+  };
+}
+
 /** Creates a rig whose engine has a configuration and a target list. */
 export function createRig(
   settings: Partial<DirectSettings> = {},
--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { samplersOf, scarceIdleTimeoutMs } from '../src/index';
 import type { DirectSettings, ListedDaemon, PeerReport } from '../src/index';
-import { createRig, openSession } from './rig';
+import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
 /** More daemons than a target has connections, in two failure domains. */
@@ -115,16 +115,7 @@
 test('connections that other daemons report cannot be borrowed', () => {
   const rig = createRig();
   rig.run(100);
-  const report = (held: number): PeerReport => ({
-    name: 'd2',
-    config: 1,
-    view: 1,
-    opinions: [],
-    loads: [['t1', held, 0]],
-    storeAgeMs: 0,
-    groupLoads: [],
-    leaderships: [],
-  });
+  const report = (held: number): PeerReport => createReport('d2', { loads: [['t1', held, 0]] });
   rig.engine.applyPeer(report(17));
   openSession(rig, 's', 'bookings');
   for (let at = 0; at < 20; at += 1) {
@@ -201,6 +192,25 @@
   assert.is(next.executed.length, 1);
 });
 
+test('a sampler does not pass on a primary that it has not proven', () => {
+  const name = samplerOf(DAEMONS, 'g', 'a') ?? '';
+  const rig = createRig({}, 5, name);
+  rig.engine.applyDirectory(DAEMONS);
+  rig.run(400);
+  const ask = [{ group: 'g', loads: [] }];
+  assert.is(rig.engine.replyToRequest('d40', ask).samples[0]?.primary, 't1');
+  rig.engine.claimSeen('g', 't2');
+  for (const target of rig.targets) {
+    target.silent = true;
+    rig.reset(target);
+  }
+  rig.run(2_700);
+  assert.is(rig.engine.world.groups.get('g')?.primary, 't2');
+  const [sample] = rig.engine.replyToRequest('d40', ask).samples;
+  assert.ok(sample);
+  assert.is(sample.primary, undefined);
+});
+
 test('a sample older than what a daemon has seen itself does not change its primary', () => {
   const rig = createFollowerRig();
   tellPrimary(rig, 't1');
@@ -276,16 +286,7 @@
     const startedAt = rig.now();
     while (rig.promotions.length === 0 && rig.now() - startedAt < 9_000) {
       rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
-      rig.engine.applyPeer({
-        name: 'd39',
-        config: 1,
-        view: 1,
-        storeAgeMs: 0,
-        opinions: [suspecting],
-        loads: [],
-        groupLoads: [],
-        leaderships: [],
-      });
+      rig.engine.applyPeer(createReport('d39', { opinions: [suspecting] }));
       rig.run(100);
     }
     return rig.now() - startedAt;
@@ -310,16 +311,7 @@
   ];
   for (let at = 0; at < 30; at += 1) rig.engine.replyToRequest(`d${at}`, loads(1, 0.1));
   const other = DAEMONS.find(({ failureDomain }) => failureDomain === 'b');
-  rig.engine.applyPeer({
-    name: other?.name ?? '',
-    config: 1,
-    view: 1,
-    storeAgeMs: 0,
-    opinions: [],
-    loads: [],
-    groupLoads: loads(20, 4),
-    leaderships: [],
-  });
+  rig.engine.applyPeer(createReport(other?.name ?? '', { groupLoads: loads(20, 4) }));
   const { totals } = rig.engine.replyToRequest('d0', loads(1, 0.1));
   const [target, connections, inFlight] = totals[0]?.loads[0] ?? [];
   assert.is(target, 't1');
@@ -367,7 +359,7 @@
   assert.is(keptWith(3, 9), 1);
 });
 
-test('the targets of a fleet that loses power have half of their connections free', () => {
+test('the targets of a fleet that loses power have connections left for its restart', () => {
   // Each of 195 daemons uses a target about once in two seconds and keeps what the policy allows.
   const limit = 117;
   let held = 0;
--- a/packages/direct/__tests__/watchers.spec.ts
+++ b/packages/direct/__tests__/watchers.spec.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { mustWatch, watchersOf } from '../src/index';
-import { createRig, openSession } from './rig';
+import { mustFetchView, mustSpread, mustWatch, watchersOf } from '../src/index';
+import { createRandom, createRig, openSession } from './rig';
 
 const fleetOf = (count: number) =>
   Array.from({ length: count }, (_, at) => ({
@@ -46,6 +46,54 @@
   assert.is(watchingAfter(6_100), 100);
 });
 
+/** Interval of reports. */
+const ROUND_MS = 350;
+
+/** Peers that get a daemon's report of one round at random. */
+const FANOUT = 3;
+
+/** Time until all of 195 daemons have a change, when a third of the daemons is cut off the store. */
+function spreadMs(spreads: typeof mustSpread): number {
+  const fleet = fleetOf(195);
+  const watchers = watchersOf(fleet);
+  const random = createRandom(7);
+  const knownAt = new Map<string, number>();
+  const heardAt = new Map<string, number>();
+  for (const name of watchers) if (random() > 1 / 3) knownAt.set(name, 0);
+  let now = 0;
+  while (knownAt.size < fleet.length && now < 20_000) {
+    now += ROUND_MS;
+    for (const sender of fleet) {
+      const since = knownAt.get(sender.name);
+      if (since === undefined || since === now) continue;
+      const toDomain = spreads(watchers.has(sender.name), now - since);
+      for (const peer of fleet) {
+        const isNear = peer.failureDomain === sender.failureDomain;
+        const isSent = (toDomain && isNear) || random() < FANOUT / fleet.length;
+        if (!isSent || knownAt.has(peer.name)) continue;
+        const firstAt = heardAt.get(peer.name) ?? now;
+        heardAt.set(peer.name, firstAt);
+        const fetches = mustFetchView({
+          behindMs: now - firstAt,
+          isNear,
+          isWatching: false,
+          storeAgeMs: 0,
+          sinceFetchMs: 1_000,
+        });
+        if (fetches) knownAt.set(peer.name, now);
+      }
+    }
+  }
+  return now;
+}
+
+test('a change reaches a large fleet in time although the store serves only part of it', () => {
+  // The platform allows 6,000 ms, of which the pause after a watch takes up to 2,000.
+  const allowedMs = 6_000 - 2_000;
+  assert.ok(spreadMs(mustSpread) < allowedMs, `${spreadMs(mustSpread)} ms`);
+  assert.not.ok(spreadMs(() => false) < allowedMs, `${spreadMs(() => false)} ms`);
+});
+
 test('a daemon watches the store until it is ready and finds its own entry', () => {
   const input = { ready: true, listed: true, isWatcher: false, storeSilentMs: 0, jitter: 0 };
   assert.not.ok(mustWatch(input));
--- a/packages/direct/src/connectionShare.ts
+++ b/packages/direct/src/connectionShare.ts
@@ -48,10 +48,10 @@
 const CLOSE_IDLE_SHARE = 0.6;
 
 /**
- * Idle timeout of a scarce connection. Load pattern: hundreds of daemons lose power with the targets
- * filled up by idle connections. Those of the dead count against the limit for seconds, and the
- * daemons that start anew are refused; so a good part of the limit is left free. A saturated target
- * is left out: opening a connection again takes a slot from statements.
+ * Idle timeout of a scarce connection. Load pattern: hundreds of daemons lose power while idle
+ * connections fill the targets' limits. These connections count for seconds more and lock out the
+ * daemons that restart, so part of the limit is left free. Saturated targets keep theirs, since
+ * opening one again takes a slot from statements.
  */
 export function scarceIdleTimeoutMs(inputs: IdleTimeoutInputs): Millis {
   const { adaptedMs, limit, held, saturated } = inputs;
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -237,8 +237,8 @@
 
 /**
  * Closes connections whose opening or set-up is overdue, and surplus idle ones. `expireRunning`
- * applies the deadline of a running request; what is left here is a statement whose request has been
- * answered by another target.
+ * applies the deadline of a running request; here it is that of a statement whose request another
+ * target has answered.
  */
 export function reapConnections(world: World, now: Millis): void {
   const { settings } = world;
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -3,7 +3,7 @@
 import { applyReply, loseConnection, handleOpened } from './connections';
 import { runDispatch } from './dispatch';
 import type { ExecutionHooks } from './requestFailures';
-import { applyLeaderships, hearsQuorum, witnessesOf } from './fencing';
+import { applyLeaderships, hasQuorum, confirmersOf } from './fencing';
 import { applyPromotionEnd, expectPrimary } from './failover';
 import { applyPeerReport } from './fleet';
 import { recordDomainLoads, recordTotals } from './groupLoads';
@@ -55,7 +55,7 @@
   leadershipsSeen: (leaderships: readonly GroupLeadership[]) => void;
   /** All claims in the store have been applied, as read at `sentAt` or later. */
   claimsRead: (sentAt: Millis) => void;
-  /** True when the store has to be read for claims, as too few witnesses are heard. */
+  /** True when the store has to be read for claims, as too few confirmers are heard. */
   needsClaims: () => boolean;
   promotionEnded: (group: GroupId, target: TargetId, result: PromotionResult) => void;
   /** The process was suspended or the time of day was set: recorded times may be wrong. */
@@ -117,7 +117,7 @@
     },
     applyDirectory: (daemons) => {
       world.fleet.listed = daemons;
-      world.fleet.witnesses = witnessesOf(daemons);
+      world.fleet.confirmers = confirmersOf(daemons);
       world.fleet.watchers = watchersOf(daemons);
       world.fleet.samplers.clear();
     },
@@ -167,7 +167,7 @@
       world.claimsReadAt = Math.max(world.claimsReadAt, sentAt);
       dispatchPending();
     },
-    needsClaims: () => !world.settings.promotionsFenced && !hearsQuorum(world, clock.now()),
+    needsClaims: () => !world.settings.promotionsFenced && !hasQuorum(world, clock.now()),
     promotionEnded: (id, target, result) => {
       const group = world.groups.get(id);
       if (group) applyPromotionEnd(world, group, target, result, clock.now());
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -52,12 +52,11 @@
   row: RequestRow,
   connection: ConnectionRow,
 ): void {
-  startTry(world, hooks, row, connection);
   if (row.transaction?.readOnly === false && !isStillPrimary(world, connection.target)) {
-    row.running.delete(connection);
     failRequest(world, hooks, row, 'transaction_lost', 'the primary has been replaced');
     return;
   }
+  startTry(world, hooks, row, connection);
   sendOps(world, connection, [
     ...setupSteps(world, row, connection),
     runStep(world, hooks, row, connection, undefined, false),
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -46,7 +46,7 @@
   const expected = group.expectedPrimary;
   if (!expected || now - expected.since <= world.settings.promotionTimeoutMs) return;
   group.expectedPrimary = undefined;
-  const seenAt = Math.max(group.primaryProvenAt ?? -Infinity, group.primaryToldAt ?? -Infinity);
+  const seenAt = Math.max(group.primaryProvenAt ?? -Infinity, group.primaryLearnedAt ?? -Infinity);
   if (seenAt < expected.since && group.targets.has(expected.target))
     presumePrimary(world, group, expected.target);
 }
@@ -100,12 +100,12 @@
   now: Millis,
 ): void {
   if (world.drainingSince !== undefined) return;
+  const opinions = countOpinions(world, group.id, primary?.listed.id, now);
+  trackContested(world, group, opinions);
   if (!mayClaim(world, now)) {
     group.promotionReasonSince = undefined;
     return;
   }
-  const opinions = countOpinions(world, group.id, primary?.listed.id, now);
-  trackContested(world, group, opinions);
   const reason = findPromotionReason({
     known: primary !== undefined && !isOutdated(group),
     leaving: primary?.leavingSince !== undefined,
@@ -116,7 +116,7 @@
     replicasLaggingMs: world.settings.promotionsFenced
       ? trackLaggingReplicas(world, group, now)
       : 0,
-    confirmed: group.primaryProvenAt !== undefined || group.primaryToldAt !== undefined,
+    proven: group.primaryProvenAt !== undefined || group.primaryLearnedAt !== undefined,
     hasPeers: world.fleet.listed.length > 1,
     ...opinions,
   });
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -2,59 +2,59 @@
 import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
 import { mayOpen, openConnection, releaseConnection, sendOps, takeConnection } from './connections';
 import { isCurrent, quorumOf, supersedes } from './leadership';
-import type { Leadership } from './leadership';
+import type { Leadership, OrderInputs } from './leadership';
 import type { GroupLeadership, ListedDaemon } from './peerReport';
 import type { GroupRow, TargetRow, World } from './tables';
 
-/** Witnesses of a large fleet; all daemons are witnesses of a fleet of at most this size. */
-const MAX_WITNESSES = 9;
+/** Confirmers of a large fleet; all daemons are confirmers of a fleet of at most this size. */
+const MAX_CONFIRMERS = 9;
 
-/** Interval at which a replaced primary is told to step down until it confirms. */
+/** Interval at which a replaced primary is asked to step down until it does. */
 const STEP_DOWN_RETRY_MS: Millis = 100;
 
-/** A primary that has not confirmed its step-down by then is unreachable. */
+/** A primary that has not stepped down by then is taken for unreachable. */
 const STEP_DOWN_LIMIT_MS: Millis = 5_000;
 
-/** The daemons whose reports show the others that no newer claim stands. */
-export function witnessesOf(daemons: readonly ListedDaemon[]): readonly ListedDaemon[] {
-  if (daemons.length <= MAX_WITNESSES) return daemons;
+/** The daemons whose reports confirm to the others that no newer claim stands. */
+export function confirmersOf(daemons: readonly ListedDaemon[]): readonly ListedDaemon[] {
+  if (daemons.length <= MAX_CONFIRMERS) return daemons;
   const ranked = daemons.map((daemon) => ({ daemon, hash: murmurhash.v3(daemon.name) }));
   ranked.sort((a, b) => a.hash - b.hash);
-  return ranked.slice(0, MAX_WITNESSES).map(({ daemon }) => daemon);
+  return ranked.slice(0, MAX_CONFIRMERS).map(({ daemon }) => daemon);
 }
 
 /** True when this daemon's reports go to every other daemon. */
-export function isWitness(world: World): boolean {
-  return world.fleet.witnesses.some(({ name }) => name === world.self.name);
+export function isConfirmer(world: World): boolean {
+  return world.fleet.confirmers.some(({ name }) => name === world.self.name);
 }
 
-/** True when most witnesses have reported within the time of a lease, this daemon included. */
-export function hearsQuorum(world: World, now: Millis): boolean {
-  const { witnesses, peers } = world.fleet;
-  if (witnesses.length === 0) return false;
-  const heard = witnesses.filter(({ name }) => {
+/** True when a quorum of confirmers has reported within the time of a lease, this daemon included. */
+export function hasQuorum(world: World, now: Millis): boolean {
+  const { confirmers, peers } = world.fleet;
+  if (confirmers.length === 0) return false;
+  const heard = confirmers.filter(({ name }) => {
     if (name === world.self.name) return true;
     return now - (peers.get(name)?.at ?? -Infinity) < world.settings.leadershipLeaseMs;
   });
-  return heard.length >= quorumOf(witnesses.length);
+  return heard.length >= quorumOf(confirmers.length);
 }
 
 /**
  * Whether this daemon may claim a promotion. Without a fence of the platform a claim stops all
- * daemons that learn of it, and its order needs a quorum. Load pattern: a split in which the side
- * without a quorum still reaches the store; the other side goes on with the old primary.
+ * daemons that learn of it, and its order needs a quorum. Load pattern: a network partition in which
+ * the side without a quorum still reaches the store, and the other side uses the old primary.
  */
 export function mayClaim(world: World, now: Millis): boolean {
-  return world.settings.promotionsFenced || hearsQuorum(world, now);
+  return world.settings.promotionsFenced || hasQuorum(world, now);
 }
 
 /**
- * True while this daemon would have learned of a newer claim: from a quorum of witnesses, or from
+ * True while this daemon would have learned of a newer claim: from a quorum of confirmers, or from
  * the store, which a claim reaches before its promotion is ordered.
  */
 export function hasLease(world: World, now: Millis): boolean {
   if (now - world.claimsReadAt < world.settings.leadershipLeaseMs) return true;
-  return hearsQuorum(world, now);
+  return hasQuorum(world, now);
 }
 
 /**
@@ -76,7 +76,7 @@
 export function mayUsePrimary(world: World, group: GroupRow, now: Millis): boolean {
   if (world.settings.promotionsFenced) return true;
   if (group.primary === undefined) return false;
-  if (group.primaryProvenAt === undefined && group.primaryToldAt === undefined) return false;
+  if (group.primaryProvenAt === undefined && group.primaryLearnedAt === undefined) return false;
   return isTrusted(world, group, group.primary, group.leaderTerm, now);
 }
 
@@ -95,19 +95,19 @@
     token: leadership.token,
   });
   group.primaryProvenAt = undefined;
-  group.primaryToldAt = undefined;
+  group.primaryLearnedAt = undefined;
   group.replaced =
     group.primary === undefined || group.primary === leadership.target
       ? undefined
-      : { target: group.primary, since: world.clock.now(), askedAt: -Infinity, confirmed: false };
+      : { target: group.primary, since: world.clock.now(), askedAt: -Infinity, steppedDown: false };
   world.groupsToDispatch.add(group);
   driveStepDown(world, group, world.clock.now());
 }
 
-/** Tells the replaced primary of a group to step down, until it confirms or the time is over. */
+/** Asks the replaced primary of a group to step down, until it does or the time is over. */
 export function driveStepDown(world: World, group: GroupRow, now: Millis): void {
   const { replaced, newest } = group;
-  if (!replaced || !newest || replaced.confirmed) return;
+  if (!replaced || !newest || replaced.steppedDown) return;
   if (now - replaced.since > STEP_DOWN_LIMIT_MS) {
     group.replaced = undefined;
     return;
@@ -129,7 +129,8 @@
       (reply) => {
         const { group } = target;
         const stopped = reply.kind === 'done' && reply.status?.role === 'replica';
-        if (stopped && group.replaced?.target === target.listed.id) group.replaced.confirmed = true;
+        if (stopped && group.replaced?.target === target.listed.id)
+          group.replaced.steppedDown = true;
         if (stopped)
           world.io.log({ type: 'primary_stepped_down', group: group.id, target: target.listed.id });
         releaseConnection(world, connection, world.clock.now());
@@ -155,27 +156,27 @@
   }
 }
 
-/** Progress of a claimed promotion towards its order; `confirmedBy`: daemons that know the claim. */
+/**
+ * Progress of a claimed promotion towards its order. A daemon that reports counts although its entry
+ * in the directory is lost: it still serves callers.
+ */
 export function orderProgress(
   world: World,
   group: GroupId,
-  confirmedBy: ReadonlySet<InstanceId>,
-): {
-  steppedDown: boolean;
-  daemons: number;
-  confirmed: number;
-  witnesses: number;
-  confirmedWitnesses: number;
-} {
-  const { listed, witnesses } = world.fleet;
-  const isConfirmed = ({ name }: ListedDaemon): boolean =>
-    name === world.self.name || confirmedBy.has(name);
-  const replaced = world.groups.get(group)?.replaced;
+  acknowledgedBy: ReadonlySet<InstanceId>,
+): Pick<
+  OrderInputs,
+  'steppedDown' | 'daemons' | 'acknowledged' | 'confirmers' | 'acknowledgedConfirmers'
+> {
+  const { listed, confirmers, peers } = world.fleet;
+  const names = new Set([...listed.map(({ name }) => name), ...peers.keys()]);
+  const hasAcknowledged = (name: InstanceId): boolean =>
+    name === world.self.name || acknowledgedBy.has(name);
   return {
-    steppedDown: replaced?.confirmed === true,
-    daemons: listed.length,
-    confirmed: listed.filter(isConfirmed).length,
-    witnesses: witnesses.length,
-    confirmedWitnesses: witnesses.filter(isConfirmed).length,
+    steppedDown: world.groups.get(group)?.replaced?.steppedDown === true,
+    daemons: names.size,
+    acknowledged: [...names].filter(hasAcknowledged).length,
+    confirmers: confirmers.length,
+    acknowledgedConfirmers: confirmers.filter(({ name }) => hasAcknowledged(name)).length,
   };
 }
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -8,7 +8,7 @@
     peers: new Map(),
     totals: new Map(),
     listed: [],
-    witnesses: [],
+    confirmers: [],
     watchers: new Set(),
     samplers: new Map(),
   };
@@ -35,7 +35,7 @@
   }
 }
 
-/** True when each daemon hears only some of the others, so that their silence tells nothing. */
+/** True when each daemon gets reports of some others only, so that a missing one means nothing. */
 export function isLargeFleet(world: World): boolean {
   return world.fleet.watchers.size < world.fleet.listed.length;
 }
--- a/packages/direct/src/groupLoads.ts
+++ b/packages/direct/src/groupLoads.ts
@@ -49,10 +49,10 @@
     world.groups.get(group)?.loads.byDomain.set(sender.failureDomain, { at, loads });
 }
 
-/** Records the sums of all daemons that the sampler of a group has told. */
-export function recordTotals(world: World, told: readonly GroupLoads[]): void {
+/** Records the sums of all daemons from the sampler's reply. */
+export function recordTotals(world: World, totals: readonly GroupLoads[]): void {
   const at = world.clock.now();
-  for (const { group, loads } of told) {
+  for (const { group, loads } of totals) {
     const table = world.groups.get(group)?.loads;
     if (table) table.totals = { at, loads };
   }
@@ -74,9 +74,9 @@
 }
 
 /**
- * Load of the other daemons at a target; undefined when no sampler has told it. Load pattern:
- * hundreds of daemons with half a statement a second at each target; the reports of a few of them,
- * scaled up to all, were mostly noise, and targets were at their connection limits unnoticed.
+ * Load of the other daemons at a target; undefined without a recent sum. Load pattern: hundreds of
+ * daemons with less than a statement a second at each target, so that the loads of a few of them,
+ * scaled up, say little about the whole.
  */
 export function loadOfOthers(
   world: World,
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -16,7 +16,7 @@
   SampleRequest,
   TargetLoads,
 } from './peerReport';
-export { isWitness, orderProgress } from './fencing';
+export { isConfirmer, orderProgress } from './fencing';
 export * from './leadership';
 export type { PromotionReason, PromotionResult } from './promotionTypes';
 export type { DirectLogEvent } from './logEvents';
--- a/packages/direct/src/leadership.ts
+++ b/packages/direct/src/leadership.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Whether a target that led in `term` may still be the primary. A term that was claimed but not
- * reached leaves the one before it open to no one: its primary may have been replaced already.
+ * Whether a target that led in `term` may still be the primary. From a claim on, the primary of the
+ * term before it counts as replaced, whether or not the promotion has taken effect.
  */
 export function isCurrent(
   newest: Leadership | undefined,
@@ -36,31 +36,35 @@
   readonly steppedDown: boolean;
   /** Daemons that are asked to stop using the old primary, this one included. */
   readonly daemons: number;
-  /** Those of them that confirmed it, this one included. */
-  readonly confirmed: number;
+  /** Those of them that acknowledged the claim, this one included. */
+  readonly acknowledged: number;
   /** Daemons whose recent reports keep others using a primary. */
-  readonly witnesses: number;
-  /** Those of them that confirmed the claim. */
-  readonly confirmedWitnesses: number;
-  /** Time since most witnesses have confirmed; 0 while they have not. */
+  readonly confirmers: number;
+  /** Those of them that acknowledged the claim. */
+  readonly acknowledgedConfirmers: number;
+  /** Time since most confirmers have acknowledged it; 0 while they have not. */
   readonly sinceQuorumMs: Millis;
   /** Time after which no daemon that missed the claim still uses the old primary. */
   readonly fenceWaitMs: Millis;
 }
 
-/** Witnesses that make a quorum. */
-export function quorumOf(witnesses: number): number {
-  return Math.floor(witnesses / 2) + 1;
+/** Confirmers that make a quorum. */
+export function quorumOf(confirmers: number): number {
+  return Math.floor(confirmers / 2) + 1;
 }
 
 /**
  * Whether a claimed promotion may be ordered where the platform does not fence the old primary.
- * Load pattern: a split leaves some daemons with the old primary, and their callers keep writing
- * to it. The order waits until nobody can acknowledge such a write: the old primary stepped down,
- * every daemon confirmed, or a quorum did and the leases of the rest have run out.
+ * Load pattern: a network partition leaves some daemons with the old primary, and their callers keep
+ * writing to it. The order waits until no daemon answers such a write with success: the old primary
+ * has stepped down, every daemon has acknowledged the claim, or a quorum has and the leases of the
+ * others have expired.
  */
 export function mayOrder(inputs: OrderInputs): boolean {
-  if (inputs.steppedDown || inputs.confirmed >= inputs.daemons) return true;
-  if (inputs.confirmedWitnesses < quorumOf(inputs.witnesses)) return false;
+  if (inputs.steppedDown) return true;
+  // An empty directory says nothing about the daemons that run.
+  if (inputs.daemons > 0 && inputs.acknowledged >= inputs.daemons) return true;
+  if (inputs.confirmers === 0) return false;
+  if (inputs.acknowledgedConfirmers < quorumOf(inputs.confirmers)) return false;
   return inputs.sinceQuorumMs >= inputs.fenceWaitMs;
 }
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -37,7 +37,7 @@
   readonly byDaemon: Map<InstanceId, LoadRow>;
   /** At the sampler: the sums of the other failure domains. */
   readonly byDomain: Map<FailureDomain, LoadRow>;
-  /** Elsewhere: the sums of all daemons, as told by the sampler. */
+  /** Elsewhere: the sums of all daemons, from the sampler's reply. */
   totals?: LoadRow;
   /** Own loads that are contained in `totals`. */
   own: TargetLoads;
@@ -106,8 +106,8 @@
   readonly totals: Map<TargetId, TargetLoad>;
   /** Daemons in the platform's directory, this one included. */
   listed: readonly ListedDaemon[];
-  /** Those of them whose reports go to every daemon; see `witnessesOf`. */
-  witnesses: readonly ListedDaemon[];
+  /** Those of them whose reports go to every daemon; see `confirmersOf`. */
+  confirmers: readonly ListedDaemon[];
   /** Those of them that watch the store; see `watchersOf`. */
   watchers: ReadonlySet<InstanceId>;
   /** Samplers of the groups by failure domain, as far as worked out for `listed`. */
@@ -117,7 +117,8 @@
 /** A position sample of a primary, as one daemon sends it to another. */
 export interface PeerSample {
   readonly group: GroupId;
-  readonly primary: TargetId;
+  /** Absent while the sender has no proof of the present primary. */
+  readonly primary?: TargetId;
   readonly position: Position;
   /** Age of the sample when it was sent. */
   readonly ageMs: Millis;
--- a/packages/direct/src/placement.ts
+++ b/packages/direct/src/placement.ts
@@ -45,7 +45,7 @@
 /**
  * Chooses the target to which a connection is opened for a read that no idle one can serve. Load
  * pattern: with more daemons than connections nearly every read opens one, so that this choice
- * places it; taken without regard to load it gave one target more than twice the mean.
+ * decides where it runs.
  */
 export function chooseTargetToOpen(
   candidates: readonly PlacementCandidate[],
@@ -57,7 +57,7 @@
   return chooseCheapest(candidates, costOf, random);
 }
 
-/** The candidate of lowest cost; jitter keeps daemons with the same data from choosing the same. */
+/** The candidate of lowest cost. Jitter keeps daemons with the same data from all choosing it. */
 function chooseCheapest(
   candidates: readonly PlacementCandidate[],
   costOf: (candidate: PlacementCandidate) => number,
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -1,5 +1,6 @@
 import type { Millis, Position, TargetId } from '@rosedeck/shared';
 import { isTrusted, recordLeadership } from './fencing';
+import type { PeerSample } from './peerReport';
 import { addSample } from './sampleHistory';
 import type { TargetReply } from './statements';
 import type { GroupRow, SentOp, TargetRow, World } from './tables';
@@ -38,13 +39,18 @@
   const id = target.listed.id;
   if (ledTerm === undefined || !isTrusted(world, group, id, ledTerm, world.clock.now()))
     return false;
-  if (ledTerm <= group.leaderTerm) return true;
-  // The new primary's log may lack entries that samples of the old one cover.
-  group.leaderTerm = ledTerm;
+  beginTerm(world, target, ledTerm, position);
+  return true;
+}
+
+/** Begins a newer term of a group. Its primary's log may lack entries that older samples cover. */
+function beginTerm(world: World, target: TargetRow, term: number, position: Position): void {
+  const { group, listed } = target;
+  if (term <= group.leaderTerm) return;
+  group.leaderTerm = term;
   group.samples.length = 0;
   group.term = position.term;
-  recordLeadership(world, group, { term: ledTerm, token: 0, target: id });
-  return true;
+  recordLeadership(world, group, { term, token: 0, target: listed.id });
 }
 
 /** Records the status that a target reports of itself. */
@@ -72,20 +78,22 @@
 export function adoptPrimary(
   world: World,
   target: TargetRow,
-  leaderTerm: number,
+  { leaderTerm, position }: Pick<PeerSample, 'leaderTerm' | 'position'>,
   provenAt: Millis,
 ): void {
   const { group } = target;
-  if (provenAt <= Math.max(group.primaryProvenAt ?? 0, group.primaryToldAt ?? 0)) return;
+  if (provenAt <= Math.max(group.primaryProvenAt ?? 0, group.primaryLearnedAt ?? 0)) return;
   if (provenAt <= target.notPrimaryAt) return;
   if (!isTrusted(world, group, target.listed.id, leaderTerm, world.clock.now())) return;
-  if (!world.settings.promotionsFenced) {
+  if (world.settings.promotionsFenced) {
+    if (position.term < group.term) return;
+  } else {
     target.ledTerm = leaderTerm;
-    group.leaderTerm = leaderTerm;
+    beginTerm(world, target, leaderTerm, position);
   }
   if (group.primary !== target.listed.id)
     setPrimary(world, group, target.listed.id, 'a sample of another daemon');
-  group.primaryToldAt = provenAt;
+  group.primaryLearnedAt = provenAt;
   const expected = group.expectedPrimary;
   if (expected?.target === target.listed.id && provenAt >= expected.since)
     group.expectedPrimary = undefined;
@@ -127,7 +135,7 @@
   const from = group.primary;
   group.primary = to;
   if (evidence !== 'it leads') group.primaryProvenAt = undefined;
-  group.primaryToldAt = undefined;
+  group.primaryLearnedAt = undefined;
   world.groupsToDispatch.add(group);
   if (from === to) return;
   world.io.log({
--- a/packages/direct/src/primaryWait.ts
+++ b/packages/direct/src/primaryWait.ts
@@ -5,7 +5,7 @@
 /** Minimum expected wait while a group has no usable primary. */
 const MIN_WAIT_MS: Millis = 50;
 
-/** Time until the next reports of the witnesses, or the next read of the claims. */
+/** Time until the next reports of the confirmers, or the next read of the claims. */
 const UNPROVEN_WAIT_MS: Millis = 250;
 
 /** Time within which probes find a primary that has already taken over. */
@@ -16,8 +16,8 @@
 
 /**
  * Expected rest of a wait that usually takes `expectedMs`, after `elapsedMs` of it. Load pattern: a
- * split keeps some daemons from the new primary for seconds; what has not come in its usual time is
- * then as far away as it is overdue, and callers had better try another daemon at once.
+ * network partition isolates some daemons from the new primary for seconds. The longer a wait is
+ * overdue, the longer its expected rest, so callers are refused at once and try another daemon.
  */
 export function remainingWaitMs(expectedMs: Millis, elapsedMs: Millis): Millis {
   return Math.max(MIN_WAIT_MS, expectedMs - elapsedMs, elapsedMs * OVERDUE_SHARE);
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -15,8 +15,8 @@
   readonly primaryDownMs: Millis;
   /** Time that all replicas have lagged too far for any read, while reads wait for the primary. */
   readonly replicasLaggingMs: Millis;
-  /** The primary has been proven, to this daemon or another; false for one that was only claimed. */
-  readonly confirmed: boolean;
+  /** This or another daemon has proof of the primary; false for one that was only claimed. */
+  readonly proven: boolean;
   /** The directory lists other daemons. */
   readonly hasPeers: boolean;
   /** Other daemons that cannot reach the primary. */
@@ -56,7 +56,7 @@
   if (!health.suspected)
     return health.replicasLaggingMs > REPLICAS_LAGGING_MS ? 'replicas_behind' : undefined;
   if (health.unlisted) return 'gone';
-  if (lacksOpinions && !health.confirmed) return undefined;
+  if (lacksOpinions && !health.proven) return undefined;
   if (lacksOpinions && health.primaryDownMs < NO_OPINIONS_WAIT_MS) return undefined;
   return health.suspecting + 1 > health.trusting ? 'unreachable' : undefined;
 }
--- a/packages/direct/src/samplers.ts
+++ b/packages/direct/src/samplers.ts
@@ -53,9 +53,9 @@
 }
 
 /**
- * Daemons that need this daemon's opinions of primaries. Load pattern: a primary is split from some
- * of hundreds of daemons, of which each hears only a few at random; the samplers of a group have
- * connections to its primary and judge it together.
+ * Daemons that need this daemon's opinions of primaries. Load pattern: a network partition isolates a
+ * primary from some of hundreds of daemons, and each gets reports of a few others only. The samplers
+ * of a group have connections to its primary and decide about it together.
  */
 export function opinionReceivers(world: World): ReadonlySet<InstanceId> {
   const receivers = new Set<InstanceId>();
--- a/packages/direct/src/sampling.ts
+++ b/packages/direct/src/sampling.ts
@@ -41,7 +41,7 @@
 function isUnsure(group: GroupRow, now: Millis): boolean {
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   if (!primary || primary.failingSince !== undefined || group.expectedPrimary) return true;
-  const seenAt = Math.max(group.primaryProvenAt ?? -Infinity, group.primaryToldAt ?? -Infinity);
+  const seenAt = Math.max(group.primaryProvenAt ?? -Infinity, group.primaryLearnedAt ?? -Infinity);
   return now - seenAt > UNSURE_AGE_MS;
 }
 
@@ -67,9 +67,10 @@
   return groups.flatMap((id) => {
     const group = world.groups.get(id);
     const sample = group?.samples.at(-1);
-    if (!group?.primary || !sample) return [];
+    if (!group || !sample) return [];
     const ageMs = now - sample.sentAt;
-    const { primary, leaderTerm } = group;
+    const { leaderTerm } = group;
+    const primary = group.primaryProvenAt === undefined ? undefined : group.primary;
     return [{ group: id, primary, position: sample.position, ageMs, leaderTerm }];
   });
 }
@@ -86,10 +87,11 @@
   if (askedAt <= world.timeJumpedAt) return;
   for (const sample of samples) {
     const group = world.groups.get(sample.group);
-    if (!group || sample.position.term < group.term || sample.ageMs < 0) continue;
+    if (!group || sample.ageMs < 0) continue;
     const sampledAt = askedAt - sample.ageMs;
-    const target = group.targets.get(sample.primary);
-    if (target) adoptPrimary(world, target, sample.leaderTerm, sampledAt);
+    const target = sample.primary === undefined ? undefined : group.targets.get(sample.primary);
+    if (target) adoptPrimary(world, target, sample, sampledAt);
+    if (sample.position.term < group.term) continue;
     group.term = sample.position.term;
     addSample(group.samples, { position: sample.position, sentAt: sampledAt });
     world.groupsToDispatch.add(group);
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -26,9 +26,12 @@
   readonly stalenessMarginMs: Millis;
   /** The platform ends the lead of the old primary at a promotion and checks fencing tokens. */
   readonly promotionsFenced: boolean;
-  /** Without a fence: time for which a daemon uses a primary after it was told of no newer claim. */
+  /** Without a fence: time for which a daemon uses a primary after it could have learned of a claim. */
   readonly leadershipLeaseMs: Millis;
-  /** Without a fence: wait before an order, for the leases of daemons that missed its claim. */
+  /**
+   * Without a fence: wait before an order, for the leases of daemons that missed its claim. With the
+   * time that a promotion takes, some hundred milliseconds, it exceeds a lease.
+   */
   readonly fenceWaitMs: Millis;
   /** Silence after which a primary is suspected. */
   readonly suspectSilentMs: Millis;
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -134,13 +134,12 @@
   value: number;
 }
 
-/** A primary that is told to step down. */
+/** A primary that is asked to step down. */
 export interface ReplacedPrimary {
   readonly target: TargetId;
   readonly since: Millis;
-  /** When it was last told. */
   askedAt: Millis;
-  confirmed: boolean;
+  steppedDown: boolean;
 }
 
 /** A database group that the configuration routes to. */
@@ -151,8 +150,8 @@
   primary?: TargetId;
   /** Sending time of the operation whose reply last proved the primary; undefined: unconfirmed. */
   primaryProvenAt?: Millis;
-  /** When another daemon proved the primary, as told by its newest sample. */
-  primaryToldAt?: Millis;
+  /** When another daemon proved the primary, by its newest sample. */
+  primaryLearnedAt?: Millis;
   /** Highest term of a proven primary's log. */
   term: number;
   /** Term in which the primary was last proven to lead, where the platform does not fence promotions. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -109,7 +109,7 @@
   world.targets.set(listed.id, row);
   if (group.primary !== listed.id) return;
   group.primaryProvenAt = undefined;
-  group.primaryToldAt = undefined;
+  group.primaryLearnedAt = undefined;
 }
 
 /** Removes a target and closes its connections. */
@@ -127,7 +127,7 @@
   for (const group of world.groups.values()) {
     group.samples.length = 0;
     group.primaryProvenAt = undefined;
-    group.primaryToldAt = undefined;
+    group.primaryLearnedAt = undefined;
     group.promotionReasonSince = undefined;
     group.expectedPrimary = undefined;
   }
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -19,7 +19,7 @@
 
 /**
  * Time until the timed systems run next. Load pattern: hundreds of daemons with a few statements a
- * second each, whose timers took more processor time than their statements.
+ * second each, where idle ticks would take most of the processor time.
  */
 export function nextTickMs(world: World): Millis {
   const { settings, running } = world;
--- a/packages/direct/src/watchers.ts
+++ b/packages/direct/src/watchers.ts
@@ -35,6 +35,59 @@
   return watchers;
 }
 
+/** Time for which a watcher reports a change to all daemons of its failure domain. */
+const SPREAD_MS: Millis = 1_500;
+
+/**
+ * Whether a watcher's reports go to all daemons of its failure domain. Load pattern: a configuration
+ * change while the store serves only part of a large fleet; from the watchers that it still serves,
+ * reports to a few peers at random take too long to reach everybody.
+ */
+export function mustSpread(isWatcher: boolean, sinceChangeMs: Millis): boolean {
+  return isWatcher && sinceChangeMs < SPREAD_MS;
+}
+
+/** Time in which a daemon's own watch usually returns a change that a peer already has. */
+const CATCH_UP_DELAY_MS: Millis = 300;
+
+/** Time in which a peer of the same failure domain usually offers the change as well. */
+const REMOTE_CATCH_UP_DELAY_MS: Millis = 1_300;
+
+/** Interval at which a daemon that does not watch the store fetches changes of the directory. */
+const REFRESH_INTERVAL_MS: Millis = 5_000;
+
+/** Such changes are fetched from peers whose view is at most this old. */
+const REFRESH_MAX_AGE_MS: Millis = 2_500;
+
+/** Shortest interval between fetches of peers' views. */
+const FETCH_INTERVAL_MS: Millis = 500;
+
+/** Inputs of the decision whether a peer's view is fetched, when a report of the peer arrives. */
+export interface FetchInputs {
+  /** Time since a peer first reported a newer view; absent: this peer's is not newer. */
+  readonly behindMs?: Millis;
+  /** The peer is in the same failure domain. */
+  readonly isNear: boolean;
+  /** This daemon asks the store itself. */
+  readonly isWatching: boolean;
+  /** Age of the peer's newest contact with the store. */
+  readonly storeAgeMs: Millis;
+  readonly sinceFetchMs: Millis;
+}
+
+/**
+ * Whether a peer's view is fetched. Load pattern: a change that hundreds of daemons lack at the same
+ * moment; near peers are preferred, since bytes between failure domains are scarce.
+ */
+export function mustFetchView(inputs: FetchInputs): boolean {
+  const { behindMs, isNear, isWatching, storeAgeMs, sinceFetchMs } = inputs;
+  if (sinceFetchMs < FETCH_INTERVAL_MS) return false;
+  const delayMs = isNear ? CATCH_UP_DELAY_MS : REMOTE_CATCH_UP_DELAY_MS;
+  if (behindMs !== undefined && behindMs >= delayMs) return true;
+  if (!isNear || isWatching) return false;
+  return storeAgeMs < REFRESH_MAX_AGE_MS && sinceFetchMs > REFRESH_INTERVAL_MS;
+}
+
 /** Inputs of the decision whether a daemon asks the store itself. */
 export interface WatchInputs {
   /** This daemon serves callers: its first view of the store is complete. */
