--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -1,4 +1,5 @@
 import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
+import { hearConfigVersion } from './newerConfig';
 import type { FleetRow, PeerReport, TargetLoad } from './peerReport';
 import type { World } from './tables';
 
@@ -27,6 +28,7 @@
   addLoads(world.fleet, peers.get(report.name)?.report, -1);
   addLoads(world.fleet, report, 1);
   peers.set(report.name, { report, at: now });
+  hearConfigVersion(world, report.config, report.name, now);
 }
 
 /** Removes daemons whose last report is too old. */
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -121,6 +121,15 @@
       readonly version: number;
       readonly routes: number;
       readonly source: string;
+      /** Time since another daemon reported a version that this one lacked; 0: none did. */
+      readonly heardMs: Millis;
+    }
+  | {
+      /** Another daemon has a newer version in force. */
+      readonly type: 'config_heard';
+      readonly version: number;
+      readonly inForce: number;
+      readonly peer: InstanceId;
     }
   | {
       readonly type: 'targets_changed';
@@ -151,7 +160,16 @@
       readonly owner: InstanceId;
       readonly afterMs: Millis;
     }
-  | { readonly type: 'key_refused'; readonly session: SessionId; readonly database: string }
+  | {
+      /** A statement of an open session whose key or route the configuration lacks. */
+      readonly type: 'key_refused' | 'route_refused';
+      readonly session: SessionId;
+      readonly database: string;
+      /** Version in force. */
+      readonly config: number;
+      /** Newest version that another daemon has reported, if it is newer. */
+      readonly heard?: number;
+    }
   | {
       readonly type: 'quota_refused';
       readonly request: RequestId;
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -7,6 +7,7 @@
   TargetId,
 } from '@rosedeck/shared';
 import type { Leadership } from './leadership';
+import type { NewerConfig } from './newerConfig';
 
 /** A daemon's opinion of a group's primary. */
 export interface PrimaryOpinion {
@@ -131,6 +132,8 @@
   names: readonly InstanceId[];
   /** Last stable count of daemons in the store, if there is one. */
   stableCount?: number;
+  /** Newest configuration version of another daemon, while this one lacks it. */
+  newerConfig?: NewerConfig;
   /** Age of the newest proof that the view of the store is complete; Infinity: not told yet. */
   storeAgeMs: Millis;
   /** Samplers of the groups by failure domain, as far as worked out for `listed`. */
--- a/packages/direct/src/sessions.ts
+++ b/packages/direct/src/sessions.ts
@@ -114,7 +114,7 @@
 function denyStatement(world: World, session: SessionRow, id: RequestId): void {
   const { transaction } = session;
   const detail = 'the API key is no longer valid';
-  world.io.log({ type: 'key_refused', session: session.id, database: session.database });
+  logDenial(world, session, 'key_refused');
   if (transaction) {
     rollBackTransaction(world, transaction);
     const answer = failStatement(session, 'transaction_lost', detail);
@@ -126,6 +126,16 @@
   closeSession(world, session.id);
 }
 
+function logDenial(world: World, session: SessionRow, type: 'key_refused' | 'route_refused'): void {
+  world.io.log({
+    type,
+    session: session.id,
+    database: session.database,
+    config: world.config?.version ?? 0,
+    heard: world.fleet.newerConfig?.version,
+  });
+}
+
 /** Answers a statement that needs no target; undefined for all others. */
 function answerLocally(
   world: World,
@@ -183,7 +193,10 @@
   if (session.transaction)
     return failStatement(session, 'unsupported', 'a transaction is already open');
   const route = world.config?.routes.get(session.database);
-  if (!route) return createFailedAnswer('unknown_group', 'no route for the database');
+  if (!route) {
+    logDenial(world, session, 'route_refused');
+    return createFailedAnswer('unknown_group', 'no route for the database');
+  }
   const now = world.clock.now();
   const isReadOnly = readOnly && route.policy !== 'primary';
   session.transaction = {
@@ -228,6 +241,7 @@
   const route = transaction?.route ?? world.config?.routes.get(session.database);
   const group = route && world.groups.get(route.group);
   if (!route || !group) {
+    logDenial(world, session, 'route_refused');
     const answer = failStatement(session, 'unknown_group', 'no route for the database');
     world.io.answer(session.id, id, answer, session.state);
     return;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -2,6 +2,7 @@
 import type { DirectConfig, ListedTarget } from './configuration';
 import { loseConnection } from './connections';
 import { createGroupLoads } from './groupLoads';
+import { reachConfigVersion } from './newerConfig';
 import { createRetryBudget } from './retryBudget';
 import type { GroupRow, TargetRow, World } from './tables';
 
@@ -12,6 +13,7 @@
 export function applyConfig(world: World, config: DirectConfig, source: string): void {
   if (world.config && config.version <= world.config.version) return;
   world.config = config;
+  const heardMs = reachConfigVersion(world, config.version, world.clock.now());
   world.quotas.applyTenants(config.tenants);
   for (const [id, limits] of config.groups) {
     const known = world.groups.get(id);
@@ -23,6 +25,7 @@
     version: config.version,
     routes: config.routes.size,
     source,
+    heardMs: Math.round(heardMs),
   });
 }
 
