fix(direct,platform): a statement of an open session is refused for its route or key only with proof

Callers saw: a session that stood open on a database or with a key that a newer version had again got NODB or UNAUTH (and lost its session for the key) from a daemon that had not heard of that version. Cause: the proof that the configuration in force is the newest one was asked for where a session opens, and nowhere else; statements were refused at once.

--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -1,5 +1,6 @@
 import type {
   ErrorKind,
+  Failure,
   GroupId,
   InstanceId,
   Millis,
@@ -37,7 +38,14 @@
 import { enqueueRequest, shedLateRequests } from './requests';
 import { opinionReceivers } from './samplers';
 import { applyPeerSamples, replyToRequest } from './sampling';
-import { applyStatement, closeSession, finishRequest, openSession } from './sessions';
+import {
+  applyStatement,
+  closeSession,
+  finishRequest,
+  isDenied,
+  openSession,
+  refuseStatement,
+} from './sessions';
 import type { CallerStatement, LossReason, TargetReply } from './statements';
 import type { ConnectionId, PoolLoad } from './engineIo';
 import type { GroupRow, World } from './tables';
@@ -78,6 +86,12 @@
   openSession: (session: SessionId, database: string, key?: string) => ErrorKind | undefined;
   /** Each request is answered once; a session has one at a time. */
   statement: (session: SessionId, request: RequestId, statement: CallerStatement) => void;
+  /**
+   * Whether the configuration in force lets a statement only be refused, for its database or its key.
+   */
+  isDenied: (session: SessionId, statement: CallerStatement) => boolean;
+  /** Answers a statement that has not been passed to `statement` with a refusal. */
+  refuseStatement: (session: SessionId, request: RequestId, refusal: Failure) => void;
   closeSession: (session: SessionId) => void;
   /** A claim in the store names the target as the group's next primary. */
   claimSeen: (group: GroupId, target: TargetId) => void;
@@ -215,6 +229,14 @@
       applyStatement(world, hooks, session, request, statement);
       dispatchPending();
     },
+    isDenied: (id, statement) => {
+      const session = world.sessions.get(id);
+      return session !== undefined && isDenied(world, session, statement);
+    },
+    refuseStatement: (id, request, refusal) => {
+      const session = world.sessions.get(id);
+      if (session) refuseStatement(world, session, request, refusal);
+    },
     closeSession: (id) => {
       closeSession(world, id);
       dispatchPending();
--- a/packages/direct/src/sessions.ts
+++ b/packages/direct/src/sessions.ts
@@ -1,5 +1,5 @@
 import { createFailure } from '@rosedeck/shared';
-import type { ErrorKind, RequestId, SessionId } from '@rosedeck/shared';
+import type { ErrorKind, Failure, RequestId, SessionId } from '@rosedeck/shared';
 import { dropConnection } from './connections';
 import { executeInTransaction } from './execution';
 import { withdrawLeases } from './leases';
@@ -79,7 +79,7 @@
   id: RequestId,
   statement: CallerStatement,
 ): void {
-  if (isDenied(world, session)) {
+  if (isKeyDenied(world, session)) {
     denyStatement(world, session, id);
     return;
   }
@@ -91,8 +91,34 @@
   startRequest(world, hooks, session, id, statement);
 }
 
+/** True when the configuration in force lets a statement only be refused, for its database or key. */
+export function isDenied(world: World, session: SessionRow, statement: CallerStatement): boolean {
+  if (isKeyDenied(world, session)) return true;
+  const { database, prepared, state, transaction } = session;
+  if (state === 'failed' || transaction || world.config?.routes.has(database)) return false;
+  const { kind } = statement;
+  if (kind === 'execute') return prepared.has(statement.name);
+  return kind === 'begin' || kind === 'read' || kind === 'write';
+}
+
+/** Refuses a statement; an open transaction fails with it and is rolled back. */
+export function refuseStatement(
+  world: World,
+  session: SessionRow,
+  id: RequestId,
+  failure: Failure,
+): void {
+  const { transaction } = session;
+  rollBackTransaction(world, transaction);
+  if (transaction) {
+    session.state = 'failed';
+    transaction.lostReason ??= failure.detail;
+  }
+  world.io.answer(session.id, id, { kind: 'failed', failure }, session.state);
+}
+
 /** True when the session's key does not allow what the session does, by the newest configuration. */
-function isDenied(world: World, session: SessionRow): boolean {
+function isKeyDenied(world: World, session: SessionRow): boolean {
   const { transaction, state } = session;
   // A failed transaction accepts only its end, whoever asks for it.
   if (state === 'failed') return false;
