fix(direct,platform): a daemon that is behind asks the peers whose reports show that they have more

Cause: belief by chance in place of evidence. A question went to a random watcher of the failure domain or any other daemon, the unreachable ones again and again; reports tell who is reachable and has the newer view, but nobody read them for that. Each such question also put off the fetch from the peer that had reported the newer view (one timestamp for both, at most one fetch in 500 ms, questions every 300 ms), and used both places for fetches while it hung. Change: a pure choice (viewSources.ts): peers that have reported a newer view, else a younger proof, near ones first; peers from which a fetch has failed in the last 2 s come last.

--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -34,6 +34,8 @@
 export * from './statements';
 export { digestKey, findTenant, resolveIdentity } from './tenants';
 export type { Identity, KeyDigest, Tenant, TenantDirectory, TenantName } from './tenants';
+export { chooseViewSources } from './viewSources';
+export type { ChosenSources, ViewSource } from './viewSources';
 export * from './watchers';
 export type { ConnectionId, EngineIo, LeaseTerms, PoolLoad } from './engineIo';
 export type { World } from './tables';
