--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -4,7 +4,6 @@
 export * from './connectionShare';
 export * from './engine';
 export { mayDeny, nextFreshnessStep, provenAtWith } from './freshness';
-export type { NewerConfig } from './newerConfig';
 export type { FreshnessInputs, FreshnessProof, FreshnessStep, ProvenView } from './freshness';
 export { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 export type { PrimaryHealth, PromotionCandidate } from './promotionPolicy';
@@ -13,6 +12,7 @@
   GroupLoads,
   GroupToken,
   ListedDaemon,
+  NewerConfig,
   PeerReport,
   PeerSample,
   PrimaryOpinion,
--- a/packages/direct/src/newerConfig.ts
+++ b/packages/direct/src/newerConfig.ts
@@ -1,15 +1,6 @@
 import type { InstanceId, Millis } from '@rosedeck/shared';
 import type { World } from './tables';
 
-/** A configuration version that another daemon has in force and this one lacks. */
-export interface NewerConfig {
-  readonly version: number;
-  /** When this daemon first heard of the version. */
-  readonly heardAt: Millis;
-  /** Since when this daemon has known that its own version is not the newest one. */
-  readonly behindSince: Millis;
-}
-
 /** Records the version that another daemon has in force. */
 export function hearConfigVersion(
   world: World,
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -7,7 +7,6 @@
   TargetId,
 } from '@rosedeck/shared';
 import type { Leadership } from './leadership';
-import type { NewerConfig } from './newerConfig';
 
 /** A daemon's opinion of a group's primary. */
 export interface PrimaryOpinion {
@@ -117,6 +116,15 @@
   readonly owners: readonly InstanceId[];
 }
 
+/** A configuration version that another daemon has in force and this one lacks. */
+export interface NewerConfig {
+  readonly version: number;
+  /** When this daemon first heard of the version. */
+  readonly heardAt: Millis;
+  /** Since when this daemon has known that its own version is not the newest one. */
+  readonly behindSince: Millis;
+}
+
 /** Reports and directory entries of the other daemons. */
 export interface FleetRow {
   readonly peers: Map<InstanceId, PeerRow>;
