--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,7 +1,7 @@
 import { formatPosition, positionOrd } from '@rosedeck/shared';
 import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './eligibility';
-import { driveStepDown, mayClaim } from './fencing';
+import { driveStepDown, mayClaim, mayUsePrimary } from './fencing';
 import { countOpinions } from './fleet';
 import type { Opinions } from './fleet';
 import { isCurrent } from './leadership';
@@ -68,6 +68,8 @@
   if (!primary || primary.failingSince !== undefined || isOutdated(group))
     group.primaryDownSince ??= primary?.failingSince ?? now;
   else group.primaryDownSince = undefined;
+  if (mayUsePrimary(world, group, now)) group.unusableSince = undefined;
+  else group.unusableSince ??= now;
   if (suspected === group.suspectedPrimary) return;
   const subject = suspected ?? group.suspectedPrimary ?? '';
   group.suspectedPrimary = suspected;
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -198,6 +198,8 @@
   readonly occupancyMs: Readonly<Record<'primary' | 'any', MovingAverage>>;
   /** Since when the group has lacked a usable primary. */
   primaryDownSince?: Millis;
+  /** Since when this daemon may not use the primary, for lack of proof or of a lease. */
+  unusableSince?: Millis;
   /** The primary, while the failure detector of this daemon suspects it. */
   suspectedPrimary?: TargetId;
   /** Most daemons cannot reach the primary, but this one can: it is about to be replaced. */
