feat(direct): half of the confirmers replace a primary that no longer reaches the store

Change: the side that reads the store may claim and order with half of the confirmers, if the primary has missed two renewals of its entry, and the directory has named the same daemons for longer than the lifetime of an entry, so that both sides count the same ones. A quorum of the other side needs one of the half, which reports the claim; the wait for the leases of the others stays. With an odd number of confirmers, and so in fleets above eight, nothing changes.

The two new tests of the tie failed before.

--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -1,7 +1,14 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { isCurrent, mayOrder, orderProgress, supersedes } from '../src/index';
-import type { GroupLeadership, OrderInputs } from '../src/index';
+import {
+  confirmersToReplace,
+  isCurrent,
+  mayOrder,
+  orderProgress,
+  quorumOf,
+  supersedes,
+} from '../src/index';
+import type { GroupLeadership, OrderInputs, ReplacementInputs } from '../src/index';
 import { confirmersOf } from '../src/fencing';
 import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
@@ -242,6 +249,7 @@
   acknowledged: 1,
   confirmers: 8,
   acknowledgedConfirmers: 1,
+  confirmersNeeded: 5,
   sinceQuorumMs: 0,
   fenceWaitMs: 500,
 };
@@ -257,6 +265,85 @@
   assert.not.ok(mayOrder(minority));
 });
 
+const HALF_SPLIT: ReplacementInputs = {
+  confirmers: 8,
+  sameDirectoryMs: 30_000,
+  unrenewedMs: 3_000,
+  renewalMs: 1_200,
+  storeReadAgeMs: 500,
+};
+
+test('half of the confirmers replace a primary that no longer reaches the store', () => {
+  assert.is(confirmersToReplace(HALF_SPLIT), 4);
+  assert.is(confirmersToReplace({ ...HALF_SPLIT, confirmers: 9 }), 5);
+  assert.is(confirmersToReplace({ ...HALF_SPLIT, unrenewedMs: 2_000 }), 5);
+  assert.is(confirmersToReplace({ ...HALF_SPLIT, storeReadAgeMs: 4_000 }), 5);
+  assert.is(confirmersToReplace({ ...HALF_SPLIT, storeReadAgeMs: Infinity }), 5);
+});
+
+test('a quorum is needed while the two sides of a split may count different daemons', () => {
+  assert.is(confirmersToReplace({ ...HALF_SPLIT, sameDirectoryMs: 9_000 }), 5);
+});
+
+test('no confirmers that replace a primary leave a quorum to the others', () => {
+  for (let confirmers = 1; confirmers <= 9; confirmers += 1) {
+    const others = confirmers - confirmersToReplace({ ...HALF_SPLIT, confirmers });
+    assert.ok(others < quorumOf(confirmers), String(confirmers));
+  }
+});
+
+/** Four of eight daemons on the side of the store, the primary on the other side, for `ms`. */
+function splitInHalf(rig: Rig, ms: number): void {
+  const reachable = rig.targets.slice(1);
+  const [primary] = rig.targets;
+  if (!primary) throw new Error('no primary');
+  primary.silent = true;
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  for (let at = 0; at < ms; at += 100) {
+    if (at % 1_200 === 0) for (const target of reachable) renewed.set(target.id, rig.now());
+    renewList(rig);
+    const opinions = at < 800 ? [] : [{ group: 'g', target: 't1', reachable: false }];
+    for (const name of ['d2', 'd3', 'd4']) rig.engine.applyPeer(createReport(name, { opinions }));
+    rig.run(100);
+  }
+}
+
+/** Revisions of the targets' entries in the store. */
+const renewed = new Map<string, number>();
+
+function renewList(rig: Rig): void {
+  rig.applyList((listed) => ({ ...listed, revision: renewed.get(listed.id) ?? listed.revision }));
+  rig.engine.storeRead(rig.now());
+}
+
+function createFleetOfEight(): Rig {
+  renewed.clear();
+  const rig = createRig({ promotionsFenced: false });
+  const others = ['d2', 'd3', 'd4', 'd5', 'd6', 'd7', 'd8'];
+  rig.engine.applyDirectory(['d1', ...others].map((name) => ({ name, failureDomain: 'a' })));
+  for (let at = 0; at < 13_000; at += 1_200) {
+    for (const target of rig.targets) renewed.set(target.id, rig.now());
+    renewList(rig);
+    hearOthers(rig, others, 1_200);
+  }
+  openSession(rig, 's', 'bookings');
+  return rig;
+}
+
+test('a split in halves does not leave the group without a primary until it heals', () => {
+  const rig = createFleetOfEight();
+  splitInHalf(rig, 4_000);
+  assert.is(rig.promotions.length, 1);
+});
+
+test('the half of a split that cannot read the store replaces no primary', () => {
+  const rig = createFleetOfEight();
+  if (rig.targets[0]) rig.targets[0].silent = true;
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  hearOthers(rig, ['d2', 'd3', 'd4'], 6_000);
+  assert.is(rig.promotions.length, 0);
+});
+
 test('the progress of an order counts the daemons of the directory', () => {
   const rig = createUnfencedRig();
   const progress = orderProgress(rig.engine.world, 'g', new Set(['d2', 'unlisted']));
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -14,7 +14,7 @@
 import type { ExecutionHooks } from './requestFailures';
 import { applyLeaderships, hasQuorum, confirmersOf } from './fencing';
 import { applyPromotionEnd, expectPrimary } from './failover';
-import { applyPeerReport } from './fleet';
+import { applyListed, applyPeerReport } from './fleet';
 import { recordDomainLoads, recordTotals } from './groupLoads';
 import type {
   GroupLeadership,
@@ -99,6 +99,8 @@
   leadershipsSeen: (leaderships: readonly GroupLeadership[]) => void;
   /** All claims in the store have been applied, as read at `sentAt` or later. */
   claimsRead: (sentAt: Millis) => void;
+  /** All changes in the store up to `sentAt` have been applied, as read by this daemon itself. */
+  storeRead: (sentAt: Millis) => void;
   /** True when the store has to be read for claims, as too few confirmers are heard. */
   needsClaims: () => boolean;
   promotionEnded: (group: GroupId, target: TargetId, result: PromotionResult) => void;
@@ -176,7 +178,7 @@
       dispatchPending();
     },
     applyDirectory: (daemons) => {
-      world.fleet.listed = daemons;
+      applyListed(world.fleet, daemons, clock.now());
       world.fleet.confirmers = confirmersOf(daemons);
       world.fleet.watchers = watchersOf(daemons);
       world.fleet.samplers.clear();
@@ -255,6 +257,9 @@
       world.claimsReadAt = Math.max(world.claimsReadAt, sentAt);
       dispatchPending();
     },
+    storeRead: (sentAt) => {
+      world.fleet.storeReadAt = Math.max(world.fleet.storeReadAt, sentAt);
+    },
     needsClaims: () => !world.settings.promotionsFenced && !hasQuorum(world, clock.now()),
     promotionEnded: (id, target, result) => {
       const group = world.groups.get(id);
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -104,7 +104,7 @@
   if (world.drainingSince !== undefined) return;
   const opinions = countOpinions(world, group.id, primary?.listed.id, now);
   trackContested(world, group, opinions);
-  if (!mayClaim(world, now)) {
+  if (!mayClaim(world, group, now)) {
     group.promotionReasonSince = undefined;
     return;
   }
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -7,7 +7,7 @@
   sendOps,
   takeAnyConnection,
 } from './connections';
-import { isCurrent, quorumOf, supersedes } from './leadership';
+import { confirmersToReplace, isCurrent, quorumOf, supersedes } from './leadership';
 import type { Leadership, OrderInputs } from './leadership';
 import type { GroupLeadership, ListedDaemon } from './peerReport';
 import type { GroupRow, TargetRow, World } from './tables';
@@ -36,22 +36,42 @@
 
 /** True when a quorum of confirmers has reported within the time of a lease, this daemon included. */
 export function hasQuorum(world: World, now: Millis): boolean {
+  const { confirmers } = world.fleet;
+  return confirmers.length > 0 && countHeard(world, now) >= quorumOf(confirmers.length);
+}
+
+/** Confirmers that have reported within the time of a lease, this daemon included. */
+function countHeard(world: World, now: Millis): number {
   const { confirmers, peers } = world.fleet;
-  if (confirmers.length === 0) return false;
   const heard = confirmers.filter(({ name }) => {
     if (name === world.self.name) return true;
     return now - (peers.get(name)?.at ?? -Infinity) < world.settings.leadershipLeaseMs;
   });
-  return heard.length >= quorumOf(confirmers.length);
+  return heard.length;
+}
+
+/** Confirmers that may replace the primary of a group; see `confirmersToReplace`. */
+function confirmersNeeded(world: World, group: GroupRow, now: Millis): number {
+  const { confirmers, namesSince, storeReadAt } = world.fleet;
+  const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  return confirmersToReplace({
+    confirmers: confirmers.length,
+    sameDirectoryMs: storeReadAt - Math.max(namesSince, world.timeJumpedAt),
+    unrenewedMs: storeReadAt - (primary?.renewedAt ?? storeReadAt),
+    renewalMs: group.renewalMs.value,
+    storeReadAgeMs: now - storeReadAt,
+  });
 }
 
 /**
  * Whether this daemon may claim a promotion. Without a fence of the platform a claim stops all
- * daemons that learn of it, and its order needs a quorum. Load pattern: a network partition in which
+ * daemons that learn of it, and its order needs as many confirmers. Load pattern: a network partition in which
  * the side without a quorum still reaches the store, and the other side uses the old primary.
  */
-export function mayClaim(world: World, now: Millis): boolean {
-  return world.settings.promotionsFenced || hasQuorum(world, now);
+export function mayClaim(world: World, group: GroupRow, now: Millis): boolean {
+  if (world.settings.promotionsFenced) return true;
+  if (world.fleet.confirmers.length === 0) return false;
+  return countHeard(world, now) >= confirmersNeeded(world, group, now);
 }
 
 /**
@@ -172,17 +192,26 @@
   acknowledgedBy: ReadonlySet<InstanceId>,
 ): Pick<
   OrderInputs,
-  'steppedDown' | 'daemons' | 'acknowledged' | 'confirmers' | 'acknowledgedConfirmers'
+  | 'steppedDown'
+  | 'daemons'
+  | 'acknowledged'
+  | 'confirmers'
+  | 'acknowledgedConfirmers'
+  | 'confirmersNeeded'
 > {
   const { listed, confirmers, peers } = world.fleet;
+  const row = world.groups.get(group);
   const names = new Set([...listed.map(({ name }) => name), ...peers.keys()]);
   const hasAcknowledged = (name: InstanceId): boolean =>
     name === world.self.name || acknowledgedBy.has(name);
   return {
-    steppedDown: world.groups.get(group)?.replaced?.steppedDown === true,
+    steppedDown: row?.replaced?.steppedDown === true,
     daemons: names.size,
     acknowledged: [...names].filter(hasAcknowledged).length,
     confirmers: confirmers.length,
     acknowledgedConfirmers: confirmers.filter(({ name }) => hasAcknowledged(name)).length,
+    confirmersNeeded: row
+      ? confirmersNeeded(world, row, world.clock.now())
+      : quorumOf(confirmers.length),
   };
 }
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -1,6 +1,6 @@
 import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
 import { hearConfigVersion } from './newerConfig';
-import type { FleetRow, PeerReport, TargetLoad } from './peerReport';
+import type { FleetRow, ListedDaemon, PeerReport, TargetLoad } from './peerReport';
 import type { World } from './tables';
 
 /** Creates the tables of a fleet without other daemons. */
@@ -12,6 +12,8 @@
     confirmers: [],
     watchers: new Set(),
     names: [],
+    namesSince: -Infinity,
+    storeReadAt: -Infinity,
     storeAgeMs: Infinity,
     samplers: new Map(),
     hasPoolOwners: false,
@@ -19,6 +21,17 @@
   };
 }
 
+/** Applies the directory; `names` changes only when a daemon comes or goes. */
+export function applyListed(fleet: FleetRow, daemons: readonly ListedDaemon[], now: Millis): void {
+  fleet.listed = daemons;
+  const { names } = fleet;
+  const isSame =
+    daemons.length === names.length && daemons.every(({ name }, at) => name === names[at]);
+  if (isSame) return;
+  fleet.names = daemons.map(({ name }) => name);
+  fleet.namesSince = now;
+}
+
 /** Applies another daemon's report, which replaces its previous one. */
 export function applyPeerReport(world: World, report: PeerReport, now: Millis): void {
   const { peers } = world.fleet;
--- a/packages/direct/src/leadership.ts
+++ b/packages/direct/src/leadership.ts
@@ -42,7 +42,9 @@
   readonly confirmers: number;
   /** Those of them that acknowledged the claim. */
   readonly acknowledgedConfirmers: number;
-  /** Time since most confirmers have acknowledged it; 0 while they have not. */
+  /** Confirmers without which no daemon has a quorum; see `confirmersToReplace`. */
+  readonly confirmersNeeded: number;
+  /** Time since enough confirmers have acknowledged it; 0 while they have not. */
   readonly sinceQuorumMs: Millis;
   /** Time after which no daemon that missed the claim still uses the old primary. */
   readonly fenceWaitMs: Millis;
@@ -53,6 +55,42 @@
   return Math.floor(confirmers / 2) + 1;
 }
 
+/** Inputs of the decision how many confirmers may replace a primary. */
+export interface ReplacementInputs {
+  readonly confirmers: number;
+  /** Time up to the last own read of the store for which the directory had named the same daemons. */
+  readonly sameDirectoryMs: Millis;
+  /** Time up to that read for which the primary had not renewed its entry in the store. */
+  readonly unrenewedMs: Millis;
+  /** Usual interval of the renewals. */
+  readonly renewalMs: Millis;
+  /** Age of that read. */
+  readonly storeReadAgeMs: Millis;
+}
+
+/** Time after which the directories of daemons with contact to the store agree: an entry's lifetime. */
+const SAME_DIRECTORY_MS: Millis = 12_000;
+
+/** Renewals that a primary has missed once it no longer reaches the store. */
+const MISSED_RENEWALS = 2;
+
+/** Age up to which a read of the store says who reaches it at present. */
+const STORE_READ_MAX_AGE_MS: Millis = 2_000;
+
+/**
+ * Confirmers that may replace a primary. Load pattern: a network partition leaves each side half of
+ * the confirmers, so that nobody has a quorum and nobody may use the primary. The side with the store
+ * then replaces a primary that no longer reaches it: no quorum is left without half of the confirmers.
+ * This holds only where both sides count the same daemons.
+ */
+export function confirmersToReplace(inputs: ReplacementInputs): number {
+  const { confirmers, sameDirectoryMs, unrenewedMs, renewalMs, storeReadAgeMs } = inputs;
+  const holdsStore =
+    storeReadAgeMs <= STORE_READ_MAX_AGE_MS && unrenewedMs >= renewalMs * MISSED_RENEWALS;
+  if (!holdsStore || sameDirectoryMs < SAME_DIRECTORY_MS) return quorumOf(confirmers);
+  return Math.ceil(confirmers / 2);
+}
+
 /**
  * Whether a claimed promotion may be ordered where the platform does not fence the old primary.
  * Load pattern: a network partition leaves some daemons with the old primary, and their callers keep
@@ -65,6 +103,6 @@
   // An empty directory says nothing about the daemons that run.
   if (inputs.daemons > 0 && inputs.acknowledged >= inputs.daemons) return true;
   if (inputs.confirmers === 0) return false;
-  if (inputs.acknowledgedConfirmers < quorumOf(inputs.confirmers)) return false;
+  if (inputs.acknowledgedConfirmers < inputs.confirmersNeeded) return false;
   return inputs.sinceQuorumMs >= inputs.fenceWaitMs;
 }
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -138,6 +138,10 @@
   watchers: ReadonlySet<InstanceId>;
   /** Names of `listed`; another list only when a daemon comes or goes. */
   names: readonly InstanceId[];
+  /** Since when the directory has named the same daemons. */
+  namesSince: Millis;
+  /** When this daemon last sent a call to the store that showed all changes up to then. */
+  storeReadAt: Millis;
   /** Last stable count of daemons in the store, if there is one. */
   stableCount?: number;
   /** Newest configuration version of another daemon, while this one lacks it. */
--- a/packages/direct/src/quotas/quotaGate.ts
+++ b/packages/direct/src/quotas/quotaGate.ts
@@ -16,11 +16,6 @@
 export function applyQuotaFleet(world: World): void {
   const { fleet } = world;
   const { listed } = fleet;
-  if (
-    listed.length !== fleet.names.length ||
-    listed.some(({ name }, at) => name !== fleet.names[at])
-  )
-    fleet.names = listed.map(({ name }) => name);
   const isAlone = fleet.peers.size === 0 && listed.length > 1;
   world.quotas.applyFleet({
     listed: fleet.names,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -96,6 +96,8 @@
 export interface TargetRow {
   listed: ListedTarget;
   readonly group: GroupRow;
+  /** When a change of the target's entry in the platform's list was last seen. */
+  renewedAt: Millis;
   /** Since when the target has been missing from the platform's list. */
   unlistedSince?: Millis;
   leavingSince?: Millis;
@@ -209,6 +211,8 @@
   expectedPrimary?: { readonly target: TargetId; readonly since: Millis };
   /** Average time from the claim to the first reply of the new primary. */
   readonly promotionMs: MovingAverage;
+  /** Average interval at which the targets renew their entries in the platform's list. */
+  readonly renewalMs: MovingAverage;
   /** Since when there has been a reason for a promotion. */
   promotionReasonSince?: Millis;
   /** No promotion starts before this time. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -4,10 +4,17 @@
 import { createGroupLoads } from './groupLoads';
 import { reachConfigVersion } from './newerConfig';
 import { createRetryBudget } from './retryBudget';
+import { updateAverage } from './tables';
 import type { GroupRow, TargetRow, World } from './tables';
 
 /** Initial values of the moving averages, in milliseconds. */
-const INITIAL_MS = { readMs: 25, writeMs: 15, primaryOccupancyMs: 60, anyOccupancyMs: 30 } as const;
+const INITIAL_MS = {
+  readMs: 25,
+  writeMs: 15,
+  primaryOccupancyMs: 60,
+  anyOccupancyMs: 30,
+  renewalMs: 1_200,
+} as const;
 
 /** Applies a configuration, unless the same or a newer version is in force. */
 export function applyConfig(world: World, config: DirectConfig, source: string): void {
@@ -53,6 +60,7 @@
     },
     routeMs: new Map(),
     promotionMs: { value: world.settings.expectedPromotionMs },
+    renewalMs: { value: INITIAL_MS.renewalMs },
   };
 }
 
@@ -82,6 +90,7 @@
       leaving.push(listed.id);
     }
     if (!listed.leaving) row.leavingSince = undefined;
+    recordRenewal(row, listed, now);
     row.listed = listed;
     row.unlistedSince = undefined;
   }
@@ -95,10 +104,17 @@
     world.io.log({ type: 'targets_changed', added, removed, leaving, source });
 }
 
+function recordRenewal(row: TargetRow, listed: ListedTarget, now: Millis): void {
+  if (row.listed.revision === listed.revision && row.listed.era === listed.era) return;
+  updateAverage(row.group.renewalMs, now - row.renewedAt);
+  row.renewedAt = now;
+}
+
 function addTarget(world: World, group: GroupRow, listed: ListedTarget, now: Millis): void {
   const row: TargetRow = {
     listed,
     group,
+    renewedAt: now,
     connections: new Set(),
     leases: new Set(),
     leaseAvoidedUntil: now,
