feat(direct,platform): an isolated daemon reports that it is not ready

Cause: in a partition the daemons on the side without a quorum refuse all work for a primary at once, but stayed in the rotation, so that a part of their callers' retries reached such a daemon again.

Change: a daemon without a lease for 500 ms (it has heard neither a quorum for 700 ms nor read the claims) answers the readiness check with 503 until it has a lease again. Sessions stay open and are served as before. Where the platform fences promotions nothing changes. Readiness has a file of its own.

--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -24,6 +24,7 @@
   SampleReply,
 } from './peerReport';
 import type { PromotionResult } from './promotionTypes';
+import { isIsolated } from './isolation';
 import { applyPoolLink } from './poolLinks';
 import { isPooled } from './poolOwners';
 import { shedPooledRequests } from './pooledAdmission';
@@ -119,6 +120,8 @@
   replyToRequest: (from: InstanceId, groups: readonly GroupLoads[]) => SampleReply;
   /** Applies a sampler's reply to a request of `askedAt`. */
   samplesReceived: (reply: SampleReply, askedAt: Millis) => void;
+  /** True when this daemon may use no primary, since it hears neither a quorum nor the store. */
+  isIsolated: () => boolean;
   /** True when every configured group that a route uses has a target. */
   hasTargetsForRoutes: () => boolean;
   /** Daemons that this daemon's reports have to reach, beside those chosen at random. */
@@ -295,6 +298,7 @@
       recordTotals(world, totals);
       dispatchPending();
     },
+    isIsolated: () => isIsolated(world, clock.now()),
     hasTargetsForRoutes: () => hasTargetsForRoutes(world),
     opinionReceivers: () => opinionReceivers(world),
     report: (view, storeAgeMs) => createReport(world, view, storeAgeMs),
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -334,6 +334,8 @@
   drainingSince?: Millis;
   /** When the last complete read of the claims in the store was sent. */
   claimsReadAt: Millis;
+  /** Since when this daemon has had no lease, where the platform does not fence promotions. */
+  leaseLostSince?: Millis;
 }
 
 /** Weight of the newest sample in a moving average. */
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -6,6 +6,7 @@
 import type { ExecutionHooks } from './requestFailures';
 import { runFailover } from './failover';
 import { expirePeers, isLargeFleet } from './fleet';
+import { trackLease } from './isolation';
 import { keepsOwnConnection } from './samplers';
 import { runSampling } from './sampling';
 import { closeSession, rollBackTransaction } from './sessions';
@@ -42,6 +43,7 @@
   reapConnections(world, now);
   for (const row of [...world.running]) reviewRunning(world, hooks, row, now);
   expirePeers(world, now);
+  trackLease(world, now);
   runSampling(world, now);
   for (const group of world.groups.values()) {
     runFailover(world, group, now);
