perf(direct,platform): idle daemons wake up less often

Change: the timed systems run when the first timeout or hedge is due, at most 100 ms later, and every 25 ms while something waits or the primary may not be used. The average of statements in flight goes by the time that has passed.

--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -290,33 +290,32 @@
 /** Factor by which the idle timeout grows with each connection that a target accepts. */
 const IDLE_TIMEOUT_GROWTH = 1.05;
 
+/** When a connection whose target owes it a reply counts as silent; undefined if none is owed. */
+export function timeoutAt(world: World, row: ConnectionRow): Millis | undefined {
+  const { settings } = world;
+  if (row.state === 'opening') return row.lease ? undefined : row.openedAt + settings.openTimeoutMs;
+  const [oldest] = row.pending;
+  if (!oldest) return undefined;
+  if (oldest.op === 'run') return row.statementDeadlineAt + settings.setupTimeoutMs;
+  const limitMs = oldest.op === 'status' ? settings.statusWaitMs * 2 : settings.setupTimeoutMs;
+  return Math.max(oldest.sentAt, row.lastReplyAt) + limitMs;
+}
+
 /**
  * Closes connections whose opening or set-up is overdue, and surplus idle ones. `expireRunning`
  * applies the deadline of a running request; here it is that of a statement whose request another
  * target has answered.
  */
 export function reapConnections(world: World, now: Millis): void {
-  const { settings } = world;
   for (const row of [...world.connections.values()]) {
-    if (row.state === 'opening') {
-      if (row.lease) {
-        // The pool owner orders leases; only the deadline of the request ends the wait here.
-        if (now > row.lease.askedFor.deadlineAt) dropConnection(world, row);
-        continue;
-      }
-      if (now - row.openedAt > settings.openTimeoutMs) loseConnection(world, row, 'silent', now);
-      continue;
-    }
-    const [oldest] = row.pending;
-    if (oldest?.op === 'run') {
-      if (now - row.statementDeadlineAt > settings.setupTimeoutMs)
-        loseConnection(world, row, 'silent', now);
+    if (row.state === 'opening' && row.lease) {
+      // The pool owner orders leases; only the deadline of the request ends the wait here.
+      if (now > row.lease.askedFor.deadlineAt) dropConnection(world, row);
       continue;
     }
-    if (oldest) {
-      const limit = oldest.op === 'status' ? settings.statusWaitMs * 2 : settings.setupTimeoutMs;
-      if (now - Math.max(oldest.sentAt, row.lastReplyAt) > limit)
-        loseConnection(world, row, 'silent', now);
+    const dueAt = timeoutAt(world, row);
+    if (dueAt !== undefined) {
+      if (now > dueAt) loseConnection(world, row, 'silent', now);
       continue;
     }
     if (row.state === 'idle' && !row.lease && isSurplus(world, row, now))
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -140,6 +140,8 @@
   idleTimeoutMs: Millis;
   /** Statements of this daemon in flight, as a moving average over some ticks. */
   smoothedInFlight: number;
+  /** When that average was last updated. */
+  smoothedAt: Millis;
   /** When the target was last probed for proof that it is the primary. */
   probedAt: Millis;
   /** When the platform last rejected the target as a primary. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -127,6 +127,7 @@
     rating: { latencyRatio: 1, at: now },
     lastStatementDoneAt: -Infinity,
     smoothedInFlight: 0,
+    smoothedAt: now,
     idleTimeoutMs: world.settings.surplusIdleMs,
     probedAt: -Infinity,
     rejectedAt: -Infinity,
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -1,11 +1,11 @@
 import type { Millis } from '@rosedeck/shared';
-import { dropConnection, mayOpen, openConnection, reapConnections } from './connections';
+import { dropConnection, mayOpen, openConnection, reapConnections, timeoutAt } from './connections';
 import { hedgeRead, ownInFlight, resumeInTransaction } from './dispatch';
 import { isUsable } from './eligibility';
 import { expireRunning } from './requestFailures';
 import type { ExecutionHooks } from './requestFailures';
 import { runFailover } from './failover';
-import { expirePeers, isLargeFleet } from './fleet';
+import { expirePeers } from './fleet';
 import { trackLease } from './isolation';
 import { keepsOwnConnection } from './samplers';
 import { runSampling } from './sampling';
@@ -16,25 +16,42 @@
 /** Sessions closed per tick while draining, so that their callers do not return all at once. */
 const MAX_CLOSED_PER_TICK = 8;
 
-/** Interval of the timed systems in a large fleet while nothing is under way here. */
-const IDLE_TICK_MS: Millis = 100;
+/**
+ * Longest interval of the timed systems. It is shorter than every timeout and hedging delay, so that
+ * those of an operation that starts between two runs are never missed.
+ */
+const MAX_TICK_MS: Millis = 100;
 
 /**
- * Time until the timed systems run next. Load pattern: hundreds of daemons with a few statements a
- * second each, where idle ticks would take most of the processor time.
+ * Time until the timed systems run next: at once where something waits, else when the first timeout or
+ * hedge is due. Load pattern: fleets of daemons with a few statements a second each, where idle ticks
+ * would take much of the processor time.
  */
 export function nextTickMs(world: World): Millis {
-  const { settings, running } = world;
-  if (!isLargeFleet(world) || running.size > 0 || world.drainingSince !== undefined)
-    return settings.tickMs;
+  const { settings, clock } = world;
   const isBusy = [...world.groups.values()].some(
     (group) =>
       group.queue.length > 0 ||
       group.promotion !== undefined ||
       group.expectedPrimary !== undefined ||
-      group.primaryDownSince !== undefined,
+      group.primaryDownSince !== undefined ||
+      group.unusableSince !== undefined,
   );
-  return isBusy ? settings.tickMs : IDLE_TICK_MS;
+  if (isBusy || world.drainingSince !== undefined) return settings.tickMs;
+  const dueMs = nextDueAt(world) - clock.now();
+  return Math.min(MAX_TICK_MS, Math.max(settings.tickMs, dueMs));
+}
+
+/** When the first timeout or hedge of running requests and of operations of rosedeck's own is due. */
+function nextDueAt(world: World): Millis {
+  let dueAt = Infinity;
+  for (const row of world.running) {
+    const at = row.stage === 'queued' ? row.notBefore : hedgeDueAt(world, row);
+    dueAt = Math.min(dueAt, row.deadlineAt, at ?? Infinity);
+  }
+  for (const connection of world.connections.values())
+    dueAt = Math.min(dueAt, timeoutAt(world, connection) ?? Infinity);
+  return dueAt;
 }
 
 /** Runs the timed systems once. */
@@ -65,22 +82,28 @@
     resumeInTransaction(world, hooks, row);
     return;
   }
-  if (row.access !== 'read' || row.transaction || row.needsPrimary || row.running.size !== 1)
-    return;
+  if (now >= (hedgeDueAt(world, row) ?? Infinity)) hedgeRead(world, hooks, row);
+}
+
+/** When a request is to be hedged if it is still running; undefined if it is not. */
+function hedgeDueAt(world: World, row: RequestRow): Millis | undefined {
+  if (row.access !== 'read' || row.transaction || row.needsPrimary) return undefined;
   const { settings } = world;
+  if (row.running.size !== 1 || row.tries >= settings.maxTries) return undefined;
   const slowMs = row.group.runMs.read.value * settings.hedgeFactor;
   const hedgeMs = Math.min(Math.max(settings.hedgeMinMs, slowMs), row.route.latencyObjectiveMs / 2);
-  if (now - row.lastSentAt >= hedgeMs && row.tries < settings.maxTries)
-    hedgeRead(world, hooks, row);
+  return row.lastSentAt + hedgeMs;
 }
 
-/** Weight of one tick in `smoothedInFlight`, which averages over some hundred milliseconds. */
-const LOAD_WEIGHT = 0.2;
+/** Time over which `smoothedInFlight` averages. */
+const LOAD_AVERAGE_MS: Millis = 110;
 
 /** Keeps a connection open to each target, and removes targets that have been unlisted too long. */
 function reviewTarget(world: World, target: TargetRow, now: Millis): void {
   const { settings } = world;
-  target.smoothedInFlight += LOAD_WEIGHT * (ownInFlight(target) - target.smoothedInFlight);
+  const weight = 1 - Math.exp((target.smoothedAt - now) / LOAD_AVERAGE_MS);
+  target.smoothedInFlight += weight * (ownInFlight(target) - target.smoothedInFlight);
+  target.smoothedAt = now;
   const isExpired =
     target.unlistedSince !== undefined && now - target.unlistedSince > settings.unlistedGraceMs;
   if (isExpired) {
