fix(direct): a read with a short objective is hedged in time although the timed systems run seldom

Cause: a read hedged after half of its objective, when that is less than 100 ms, could start just after a run of the timed systems and be hedged up to 100 ms late. Found by reading; on the deployments at hand the shortest objective is 200 ms or the hedge is due later.

Change: the interval is at most the shortest half of an objective.

--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -16,10 +16,7 @@
 /** Sessions closed per tick while draining, so that their callers do not return all at once. */
 const MAX_CLOSED_PER_TICK = 8;
 
-/**
- * Longest interval of the timed systems. It is shorter than every timeout and hedging delay, so that
- * those of an operation that starts between two runs are never missed.
- */
+/** Longest interval of the timed systems; every timeout is longer. */
 const MAX_TICK_MS: Millis = 100;
 
 /**
@@ -38,10 +35,18 @@
       group.unusableSince !== undefined,
   );
   if (isBusy || world.drainingSince !== undefined) return settings.tickMs;
-  const dueMs = nextDueAt(world) - clock.now();
+  const dueMs = Math.min(nextDueAt(world) - clock.now(), shortestHedgeMs(world));
   return Math.min(MAX_TICK_MS, Math.max(settings.tickMs, dueMs));
 }
 
+/** Shortest time after which a read that starts between two runs may have to be hedged. */
+function shortestHedgeMs(world: World): Millis {
+  let shortestMs = world.settings.hedgeMinMs;
+  for (const { latencyObjectiveMs } of world.config?.routes.values() ?? [])
+    shortestMs = Math.min(shortestMs, latencyObjectiveMs / 2);
+  return shortestMs;
+}
+
 /** When the first timeout or hedge of running requests and of operations of rosedeck's own is due. */
 function nextDueAt(world: World): Millis {
   let dueAt = Infinity;
