fix(direct): the timed systems keep their 25 ms while a target fails or leaves

Cause: with the longer interval, connections to a target that fails or leaves were opened again, and a leaving primary was replaced, up to 75 ms later.

Change: such a target counts as work under way.

--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -10,7 +10,7 @@
 import { keepsOwnConnection } from './samplers';
 import { runSampling } from './sampling';
 import { closeSession, rollBackTransaction } from './sessions';
-import type { RequestRow, TargetRow, World } from './tables';
+import type { GroupRow, RequestRow, TargetRow, World } from './tables';
 import { removeTarget } from './targetList';
 
 /** Sessions closed per tick while draining, so that their callers do not return all at once. */
@@ -26,19 +26,21 @@
  */
 export function nextTickMs(world: World): Millis {
   const { settings, clock } = world;
-  const isBusy = [...world.groups.values()].some(
-    (group) =>
-      group.queue.length > 0 ||
-      group.promotion !== undefined ||
-      group.expectedPrimary !== undefined ||
-      group.primaryDownSince !== undefined ||
-      group.unusableSince !== undefined,
-  );
-  if (isBusy || world.drainingSince !== undefined) return settings.tickMs;
+  const isBusy = [...world.groups.values()].some(hasWork) || world.drainingSince !== undefined;
+  if (isBusy) return settings.tickMs;
   const dueMs = Math.min(nextDueAt(world) - clock.now(), shortestHedgeMs(world));
   return Math.min(MAX_TICK_MS, Math.max(settings.tickMs, dueMs));
 }
 
+/** True while requests of a group wait, or its primary or one of its targets is about to change. */
+function hasWork(group: GroupRow): boolean {
+  if (group.queue.length > 0 || group.promotion || group.expectedPrimary) return true;
+  if (group.primaryDownSince !== undefined || group.unusableSince !== undefined) return true;
+  return [...group.targets.values()].some(
+    ({ failingSince, leavingSince }) => failingSince !== undefined || leavingSince !== undefined,
+  );
+}
+
 /** Shortest time after which a read that starts between two runs may have to be hedged. */
 function shortestHedgeMs(world: World): Millis {
   let shortestMs = world.settings.hedgeMinMs;
