fix(direct): idle groups without a proven primary do not keep the timed systems at 25 ms

Cause: a daemon of a large fleet proves no primary while it has no requests, so that the rule for an unusable primary kept its timed systems at 25 ms in calm, 100 ms before. Found by reading.

Change: the rule holds for a second after the last request of the group. The test failed before.

--- a/packages/direct/__tests__/watchers.spec.ts
+++ b/packages/direct/__tests__/watchers.spec.ts
@@ -117,6 +117,15 @@
   assert.is(small.engine.nextTickMs(), 100);
 });
 
+test('the timed systems run often while requests may need a primary that is not proven', () => {
+  const rig = createRig({ promotionsFenced: false });
+  rig.engine.applyDirectory(fleetOf(8));
+  rig.run(200);
+  assert.is(rig.engine.nextTickMs(), 25);
+  rig.run(1_000);
+  assert.is(rig.engine.nextTickMs(), 100);
+});
+
 test('the timed systems run when the hedge of a running read is due', () => {
   const rig = createRig();
   rig.run(200);
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -26,16 +26,21 @@
  */
 export function nextTickMs(world: World): Millis {
   const { settings, clock } = world;
-  const isBusy = [...world.groups.values()].some(hasWork) || world.drainingSince !== undefined;
-  if (isBusy) return settings.tickMs;
-  const dueMs = Math.min(nextDueAt(world) - clock.now(), shortestHedgeMs(world));
+  const now = clock.now();
+  const isBusy = [...world.groups.values()].some((group) => hasWork(group, now));
+  if (isBusy || world.drainingSince !== undefined) return settings.tickMs;
+  const dueMs = Math.min(nextDueAt(world) - now, shortestHedgeMs(world));
   return Math.min(MAX_TICK_MS, Math.max(settings.tickMs, dueMs));
 }
 
+/** Time without requests after which nobody waits for the proof of a group's primary. */
+const IDLE_GROUP_MS: Millis = 1_000;
+
 /** True while requests of a group wait, or its primary or one of its targets is about to change. */
-function hasWork(group: GroupRow): boolean {
+function hasWork(group: GroupRow, now: Millis): boolean {
   if (group.queue.length > 0 || group.promotion || group.expectedPrimary) return true;
-  if (group.primaryDownSince !== undefined || group.unusableSince !== undefined) return true;
+  if (group.primaryDownSince !== undefined) return true;
+  if (group.unusableSince !== undefined && now - group.lastRequestAt < IDLE_GROUP_MS) return true;
   return [...group.targets.values()].some(
     ({ failingSince, leavingSince }) => failingSince !== undefined || leavingSince !== undefined,
   );
