--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -175,7 +175,9 @@
     candidate: choice.id,
     received: choice.received ? formatPosition(choice.received) : 'unknown',
     surveyed: candidates.filter((one) => one.answered).length,
+    knownTerm: group.term,
   });
+  for (const candidate of candidates) logSurveyed(world, group, candidate, now);
   world.io.promote(group.id, choice.id, nextTerm(group));
 }
 
@@ -222,6 +224,27 @@
   };
 }
 
+function logSurveyed(
+  world: World,
+  group: GroupRow,
+  candidate: PromotionCandidate,
+  now: Millis,
+): void {
+  const { id, answered, failing, received } = candidate;
+  const status = group.targets.get(id)?.status;
+  world.io.log({
+    type: 'promotion_surveyed',
+    group: group.id,
+    target: id,
+    answered,
+    failing,
+    role: status?.report.role,
+    term: status?.report.term,
+    received: received ? formatPosition(received) : 'unknown',
+    statusAgeMs: status && Math.round(now - status.at),
+  });
+}
+
 /** While time allows, a working primary is not replaced by a replica that receives no data. */
 function isTooFarBehind(
   world: World,
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -109,6 +109,24 @@
       readonly received: string;
       /** Targets that replied to the status request. */
       readonly surveyed: number;
+      /** Newest term of a proven primary's log that this daemon knows. */
+      readonly knownTerm: number;
+    }
+  | {
+      /** What the choice of a candidate is based on; one line for each target. */
+      readonly type: 'promotion_surveyed';
+      readonly group: GroupId;
+      readonly target: TargetId;
+      /** Whether the target has replied to the status request of this promotion. */
+      readonly answered: boolean;
+      readonly failing: boolean;
+      /** Role and term of its last status, of whatever age. */
+      readonly role?: string;
+      readonly term?: number;
+      /** Position that the choice uses, or `unknown`. */
+      readonly received: string;
+      /** Age of that status. */
+      readonly statusAgeMs?: Millis;
     }
   | {
       readonly type: 'promotion_ended';
