--- /dev/null
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -0,0 +1,102 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { FakeTarget } from './fakeTarget';
+import { createReport, createRig, openSession } from './rig';
+import type { Rig } from './rig';
+
+interface SplitRig extends Rig {
+  /** The old primary, with ten commits that the promotion of `next` has discarded. */
+  readonly old: FakeTarget;
+  readonly next: FakeTarget;
+  readonly other: FakeTarget;
+  /** Cuts this daemon off from a target. */
+  readonly cut: (target: FakeTarget) => void;
+  readonly heal: (target: FakeTarget) => void;
+}
+
+/** A rig of one daemon of three, cut off from the targets that a promotion has left with the group. */
+function createSplitRig(): SplitRig {
+  const rig = createRig();
+  const [old, next, other] = rig.targets;
+  if (!old || !next || !other) throw new Error('no targets');
+  rig.engine.applyDirectory(['d1', 'd2', 'd3'].map((name) => ({ name, failureDomain: 'a' })));
+  rig.run(300);
+  openSession(rig, 's', 'bookings');
+  const cut = (target: FakeTarget): void => {
+    target.silent = true;
+    target.refusing = true;
+    rig.reset(target);
+  };
+  const heal = (target: FakeTarget): void => {
+    target.silent = false;
+    target.refusing = false;
+  };
+  return { ...rig, old, next, other, cut, heal };
+}
+
+/** Promotes `next`; the old primary is out of its reach and keeps the end of its log. */
+function promoteNext({ old, next, other }: SplitRig): void {
+  old.received = { term: 1, index: 110 };
+  old.applied = old.received;
+  old.role = 'replica';
+  for (const target of [next, other]) {
+    target.term = 2;
+    target.received = { term: 2, index: 120 };
+    target.applied = target.received;
+  }
+  next.role = 'primary';
+}
+
+/** The other daemons report for a time that they cannot reach a target. */
+function reportSuspicion(rig: Rig, target: string, ms: number): void {
+  const opinions = [{ group: 'g', target, reachable: false }];
+  for (let at = 0; at < ms; at += 200) {
+    for (const name of ['d2', 'd3']) rig.engine.applyPeer(createReport(name, { opinions }));
+    rig.run(200);
+  }
+}
+
+test('a log that a promotion has cut back is not promoted when the new primary is lost', () => {
+  const rig = createSplitRig();
+  promoteNext(rig);
+  rig.run(500);
+  assert.is(rig.engine.world.groups.get('g')?.term, 2);
+  rig.cut(rig.next);
+  rig.cut(rig.other);
+  rig.submit('s', { kind: 'read', text: 'READ 1' });
+  reportSuspicion(rig, 't2', 6_000);
+  assert.equal(rig.promotions, []);
+});
+
+test('a target that does not reply to the survey is not promoted for a remembered position', () => {
+  const rig = createSplitRig();
+  rig.other.received = { term: 1, index: 105 };
+  rig.other.applied = rig.other.received;
+  rig.run(200);
+  openSession(rig, 'r', 'loops');
+  for (let at = 0; at < 10; at += 1) {
+    rig.submit('r', { kind: 'read', text: 'READ 1' });
+    rig.run(50);
+  }
+  rig.other.ignoresStatus = true;
+  rig.cut(rig.old);
+  reportSuspicion(rig, 't1', 1_400);
+  assert.equal(rig.promotions, [{ group: 'g', target: 't2' }]);
+});
+
+test('a promotion is not ordered after the primary has proven to lead', () => {
+  const rig = createSplitRig();
+  rig.cut(rig.next);
+  rig.cut(rig.other);
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  promoteNext(rig);
+  const group = rig.engine.world.groups.get('g');
+  for (let at = 0; at < 400 && group?.promotion === undefined; at += 1) rig.run(25);
+  assert.is(group?.promotion?.stage, 'survey');
+  rig.heal(rig.next);
+  rig.run(400);
+  assert.is(group?.primary, 't2');
+  assert.equal(rig.promotions, []);
+});
+
+test.run();
--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -15,6 +15,8 @@
   refusing: boolean;
   /** Runs statements but never replies to them. */
   dropsReplies: boolean;
+  /** Never replies to `status`. */
+  ignoresStatus: boolean;
   /** Refuses statements with `busy`. */
   repliesBusy: boolean;
   runMs: number;
@@ -51,6 +53,7 @@
     silent: false,
     refusing: false,
     dropsReplies: false,
+    ignoresStatus: false,
     repliesBusy: false,
     runMs: 20,
     slots: 3,
@@ -116,6 +119,7 @@
   if (op.op === 'set') connection.variables.set(op.name, op.value);
   if (op.op === 'prepare') connection.prepared.add(op.name);
   if (op.op === 'stepDown' && target.term < op.term) target.role = 'replica';
+  if (op.op === 'status' && target.ignoresStatus) return;
   const status = { role: target.role, term: target.term, received: target.received };
   const answer = doneReply(target, connection);
   reply(op.op === 'status' || op.op === 'stepDown' ? { ...answer, status } : answer);
