fix(direct): a promotion is ordered only while its reason stands

In the trace front-gaziantep-a-5 started a promotion with `nobody_leads`, saw the new primary prove its lead in the same tick, and ordered the old one 226 ms later.

Cause: the reason was looked at when a promotion began and never again, although a survey, the store and a suspension lie between the start and the order.

Change: each tick of the survey asks for the reason again, by the same function; without one, without a quorum where one is needed, or after a time jump the promotion ends as `promotion_abandoned`.

--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -99,4 +99,17 @@
   assert.equal(rig.promotions, []);
 });
 
+test('a promotion that began before a time jump is not ordered', () => {
+  const rig = createSplitRig();
+  const group = rig.engine.world.groups.get('g');
+  rig.cut(rig.next);
+  rig.cut(rig.other);
+  promoteNext(rig);
+  for (let at = 0; at < 400 && group?.promotion === undefined; at += 1) rig.run(25);
+  assert.is(group?.promotion?.stage, 'survey');
+  rig.engine.timeJumped(5_000);
+  rig.run(400);
+  assert.equal(rig.promotions, []);
+});
+
 test.run();
--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -315,7 +315,13 @@
   const [first] = rig.promotions;
   const group = rig.engine.world.groups.get('g');
   if (!first || !group) throw new Error('no promotion');
-  group.promotion = { reason: 'gone', startedAt: rig.now(), stage: 'ordered', candidate: 't9' };
+  group.promotion = {
+    reason: 'gone',
+    startedAt: rig.now(),
+    epoch: 0,
+    stage: 'ordered',
+    candidate: 't9',
+  };
   rig.engine.promotionEnded('g', first.target, 'unavailable');
   assert.is(group.promotion.candidate, 't9');
   rig.engine.promotionEnded('g', first.target, 'ordered');
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -36,7 +36,7 @@
   probeTargets(world, group, primary, now);
   expireExpectedPrimary(world, group, now);
   if (group.promotion) {
-    continuePromotion(world, group, group.promotion, now);
+    continuePromotion(world, group, primary, group.promotion, now);
     return;
   }
   startPromotionIfNeeded(world, group, primary, now);
@@ -108,7 +108,30 @@
     group.promotionReasonSince = undefined;
     return;
   }
-  const reason = findPromotionReason({
+  const reason = currentReason(world, group, primary, opinions, now);
+  // The staggered delays restart if an expected primary does not appear.
+  if (reason === undefined || group.expectedPrimary) {
+    group.promotionReasonSince = undefined;
+    return;
+  }
+  if (group.promotionNotBefore !== undefined && now < group.promotionNotBefore) return;
+  group.promotionReasonSince ??= now;
+  const delayMs = ownPromotionDelayMs(world, group);
+  if (now - group.promotionReasonSince < delayMs) return;
+  world.io.log({ type: 'promotion_started', group: group.id, reason, ...opinions });
+  group.promotion = { reason, startedAt: now, epoch: world.epoch, stage: 'survey' };
+  for (const target of group.targets.values()) requestStatus(world, target, now);
+}
+
+/** Why the group needs another primary at this moment; undefined while it does not. */
+function currentReason(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  opinions: Opinions,
+  now: Millis,
+): PromotionReason | undefined {
+  return findPromotionReason({
     known: primary !== undefined && !isOutdated(group),
     leaving: primary?.leavingSince !== undefined,
     unlisted: primary?.unlistedSince !== undefined,
@@ -122,21 +145,37 @@
     hasPeers: world.fleet.listed.length > 1,
     ...opinions,
   });
-  // The staggered delays restart if an expected primary does not appear.
-  if (reason === undefined || group.expectedPrimary) {
-    group.promotionReasonSince = undefined;
-    return;
-  }
-  if (group.promotionNotBefore !== undefined && now < group.promotionNotBefore) return;
-  group.promotionReasonSince ??= now;
-  const delayMs = ownPromotionDelayMs(world, group);
-  if (now - group.promotionReasonSince < delayMs) return;
-  world.io.log({ type: 'promotion_started', group: group.id, reason, ...opinions });
-  group.promotion = { reason, startedAt: now, stage: 'survey' };
-  for (const target of group.targets.values()) requestStatus(world, target, now);
 }
 
-function continuePromotion(world: World, group: GroupRow, promotion: Promotion, now: Millis): void {
+/** Why a promotion that has been started must not be ordered any more, as a short text. */
+function findObsoleteCause(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  promotion: Promotion,
+  now: Millis,
+): string | undefined {
+  if (promotion.epoch !== world.epoch) return 'a time jump';
+  if (!mayClaim(world, group, now)) return 'no quorum';
+  const opinions = countOpinions(world, group.id, primary?.listed.id, now);
+  return currentReason(world, group, primary, opinions, now) === undefined ? 'no reason' : undefined;
+}
+
+/** Ends a promotion that has claimed nothing. */
+function abandonPromotion(world: World, group: GroupRow, cause: string, now: Millis): void {
+  world.io.log({ type: 'promotion_abandoned', group: group.id, cause });
+  group.promotion = undefined;
+  group.promotionReasonSince = undefined;
+  group.promotionNotBefore = now + UNAVAILABLE_PAUSE_MS;
+}
+
+function continuePromotion(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  promotion: Promotion,
+  now: Millis,
+): void {
   const { settings } = world;
   if (promotion.stage === 'ordered') {
     if (now - (promotion.orderedAt ?? now) > settings.promotionTimeoutMs)
@@ -153,6 +192,11 @@
     expectPrimary(world, group, otherPrimary.listed.id, now);
     return;
   }
+  const obsoleteCause = findObsoleteCause(world, group, primary, promotion, now);
+  if (obsoleteCause !== undefined) {
+    abandonPromotion(world, group, obsoleteCause, now);
+    return;
+  }
   const candidates = [...group.targets.values()]
     .filter((target) => target.listed.id !== group.primary || isOutdated(group))
     .filter((target) => isUsable(world, target, now))
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -128,6 +128,12 @@
       /** Age of that status. */
       readonly statusAgeMs?: Millis;
     }
+  | {
+      /** A promotion that was started and has claimed nothing. */
+      readonly type: 'promotion_abandoned';
+      readonly group: GroupId;
+      readonly cause: string;
+    }
   | {
       readonly type: 'promotion_ended';
       readonly group: GroupId;
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -20,6 +20,8 @@
 export interface Promotion {
   readonly reason: PromotionReason;
   readonly startedAt: Millis;
+  /** `World.epoch` at the start. */
+  readonly epoch: number;
   /** `survey`: status replies are awaited; `ordered`: `EngineIo.promote` was called. */
   stage: 'survey' | 'ordered';
   candidate?: TargetId;
