fix(direct): only a target that replies to the survey is promoted

Cause: for a target that had not replied, the highest position that it had ever reported stood in for its log, although a promotion may have cut that log back since, and the target may be gone.

Change: a candidate has replied since the promotion began, with its status or at least with the position that every reply carries, also a refusal of a busy target. The primary that a newer claim replaces is surveyed as well, where promotions are not fenced: it was a candidate by its remembered position alone.

The case of chooseCandidate names the reply in place of the flag that it replaces, and has one more assertion.

--- a/packages/direct/__tests__/decisions.spec.ts
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -262,12 +262,14 @@
     id,
     leaving,
     failing,
-    answered: true,
+    reply: 'status' as const,
     received: { term: 3, index },
   });
   assert.is(chooseCandidate([candidate('a', 7), candidate('b', 9), candidate('c', 8)])?.id, 'b');
   assert.is(chooseCandidate([candidate('a', 7), candidate('b', 9, true)])?.id, 'a');
   assert.is(chooseCandidate([candidate('a', 7, false, true), candidate('b', 9, true)])?.id, 'b');
+  const unheard = { ...candidate('c', 9), reply: undefined };
+  assert.is(chooseCandidate([candidate('a', 7), unheard])?.id, 'a');
   assert.is(chooseCandidate([]), undefined);
 });
 
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -120,7 +120,6 @@
   if (now - group.promotionReasonSince < delayMs) return;
   world.io.log({ type: 'promotion_started', group: group.id, reason, ...opinions });
   group.promotion = { reason, startedAt: now, epoch: world.epoch, stage: 'survey' };
-  for (const target of group.targets.values()) requestStatus(world, target, now);
 }
 
 /** Why the group needs another primary at this moment; undefined while it does not. */
@@ -158,7 +157,9 @@
   if (promotion.epoch !== world.epoch) return 'a time jump';
   if (!mayClaim(world, group, now)) return 'no quorum';
   const opinions = countOpinions(world, group.id, primary?.listed.id, now);
-  return currentReason(world, group, primary, opinions, now) === undefined ? 'no reason' : undefined;
+  return currentReason(world, group, primary, opinions, now) === undefined
+    ? 'no reason'
+    : undefined;
 }
 
 /** Ends a promotion that has claimed nothing. */
@@ -197,12 +198,14 @@
     abandonPromotion(world, group, obsoleteCause, now);
     return;
   }
-  const candidates = [...group.targets.values()]
+  const surveyed = [...group.targets.values()]
     .filter((target) => target.listed.id !== group.primary || isOutdated(group))
     .filter((target) => isUsable(world, target, now))
-    .filter((target) => now - target.rejectedAt > REJECTED_MS)
-    .map((target) => describeCandidate(target, promotion));
-  const isComplete = candidates.every((one) => one.answered || one.failing);
+    .filter((target) => now - target.rejectedAt > REJECTED_MS);
+  for (const target of surveyed)
+    if (!hasStatus(target, promotion)) requestStatus(world, target, now);
+  const candidates = surveyed.map((target) => describeCandidate(target, promotion));
+  const isComplete = candidates.every((one) => one.reply === 'status' || one.failing);
   if (!isComplete && now - promotion.startedAt < settings.statusWaitMs) return;
   const choice = chooseCandidate(candidates);
   if (!choice || isTooFarBehind(world, group, promotion.reason, choice, now)) {
@@ -218,7 +221,7 @@
     group: group.id,
     candidate: choice.id,
     received: choice.received ? formatPosition(choice.received) : 'unknown',
-    surveyed: candidates.filter((one) => one.answered).length,
+    surveyed: candidates.filter((one) => one.reply !== undefined).length,
     knownTerm: group.term,
   });
   for (const candidate of candidates) logSurveyed(world, group, candidate, now);
@@ -256,16 +259,24 @@
   });
 }
 
+/** True when the target has replied to a status request of the promotion. */
+function hasStatus({ status }: TargetRow, promotion: Promotion): boolean {
+  return status !== undefined && status.sentAt >= promotion.startedAt;
+}
+
+/** Replies from before the promotion do not count: the log may have been cut back since. */
 function describeCandidate(target: TargetRow, promotion: Promotion): PromotionCandidate {
-  const { status } = target;
-  const answered = status !== undefined && status.at >= promotion.startedAt;
-  return {
-    id: target.listed.id,
-    leaving: target.leavingSince !== undefined,
-    received: answered ? status.report.received : target.applied,
-    answered,
-    failing: target.failingSince !== undefined,
+  const { listed, status, lastPosition, leavingSince, failingSince } = target;
+  const common = {
+    id: listed.id,
+    leaving: leavingSince !== undefined,
+    failing: failingSince !== undefined,
   };
+  if (status && hasStatus(target, promotion))
+    return { ...common, received: status.report.received, reply: 'status' };
+  if (lastPosition && lastPosition.sentAt >= promotion.startedAt)
+    return { ...common, received: lastPosition.position, reply: 'position' };
+  return common;
 }
 
 function logSurveyed(
@@ -274,13 +285,13 @@
   candidate: PromotionCandidate,
   now: Millis,
 ): void {
-  const { id, answered, failing, received } = candidate;
+  const { id, reply, failing, received } = candidate;
   const status = group.targets.get(id)?.status;
   world.io.log({
     type: 'promotion_surveyed',
     group: group.id,
     target: id,
-    answered,
+    reply: reply ?? 'none',
     failing,
     role: status?.report.role,
     term: status?.report.term,
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -107,7 +107,7 @@
       readonly candidate: TargetId;
       /** Last position that the candidate has reported, or `unknown`. */
       readonly received: string;
-      /** Targets that replied to the status request. */
+      /** Targets that replied since the promotion started. */
       readonly surveyed: number;
       /** Newest term of a proven primary's log that this daemon knows. */
       readonly knownTerm: number;
@@ -117,8 +117,8 @@
       readonly type: 'promotion_surveyed';
       readonly group: GroupId;
       readonly target: TargetId;
-      /** Whether the target has replied to the status request of this promotion. */
-      readonly answered: boolean;
+      /** Newest reply since the promotion started: `status`, another one with a `position`, or `none`. */
+      readonly reply: string;
       readonly failing: boolean;
       /** Role and term of its last status, of whatever age. */
       readonly role?: string;
--- a/packages/direct/src/primaryProbes.ts
+++ b/packages/direct/src/primaryProbes.ts
@@ -66,14 +66,15 @@
   return ledTerm === undefined || !isCurrent(group.newest, ledTerm, listed.id);
 }
 
-/** Requests the status of a replica if a connection to it is idle; else opens one. */
+/** Requests the status of a target if a connection to it is idle; else opens one. */
 export function requestStatus(world: World, target: TargetRow, now: Millis): void {
-  if (target.listed.id === target.group.primary) return;
+  if (now - target.statusRequestedAt < world.settings.probeEveryMs) return;
   const connection = takeAnyConnection(target, now);
   if (!connection) {
     if (mayOpen(world, target, now)) openConnection(world, target, now);
     return;
   }
+  target.statusRequestedAt = now;
   sendStatus(world, target, connection);
 }
 
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -65,21 +65,24 @@
 export interface PromotionCandidate {
   readonly id: TargetId;
   readonly leaving: boolean;
-  /** Last position that it has reported to hold. */
+  /** The newest log entry that it holds, by its reply. */
   readonly received?: Position;
-  /** It replied to the status request of this promotion. */
-  readonly answered: boolean;
+  /**
+   * What it has replied since the promotion started: its status, or another reply with the position
+   * that it has applied. Absent: nothing.
+   */
+  readonly reply?: 'status' | 'position';
   readonly failing: boolean;
 }
 
 /**
- * Chooses the replica with the newest log; ties go to one that answered. A leaving replica is only
- * chosen when all are leaving, a failing one never.
+ * Chooses the replica with the newest log, among those that have replied; ties go to one that has sent
+ * its status. A leaving replica is only chosen when all are leaving, a failing one never.
  */
 export function chooseCandidate(
   candidates: readonly PromotionCandidate[],
 ): PromotionCandidate | undefined {
-  const fit = candidates.filter((one) => !one.failing);
+  const fit = candidates.filter((one) => !one.failing && one.reply !== undefined);
   const staying = fit.filter((one) => !one.leaving);
   const pool = staying.length > 0 ? staying : fit;
   return pool.reduce<PromotionCandidate | undefined>(
@@ -91,7 +94,7 @@
 function isBetter(a: PromotionCandidate, b: PromotionCandidate): boolean {
   if (!a.received || !b.received) return a.received !== undefined && b.received === undefined;
   const order = positionOrd.compare(a.received, b.received);
-  return order === 0 ? a.answered && !b.answered : order > 0;
+  return order === 0 ? a.reply === 'status' && b.reply !== 'status' : order > 0;
 }
 
 /** Other daemons up to which the full stagger applies; larger fleets use a shorter one. */
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -132,7 +132,11 @@
   ledTerm?: number;
   /** When the target last replied that it is not the primary. */
   notPrimaryAt: Millis;
-  status?: { readonly report: TargetStatus; readonly at: Millis };
+  status?: { readonly report: TargetStatus; readonly at: Millis; readonly sentAt: Millis };
+  /** When its status was last requested for a promotion. */
+  statusRequestedAt: Millis;
+  /** Applied position in the newest reply, with the time at which the operation was sent. */
+  lastPosition?: { readonly position: Position; readonly sentAt: Millis };
   readonly rating: LatencyRating;
   /** When the target last replied to a statement. */
   lastStatementDoneAt: Millis;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -131,6 +131,7 @@
     idleTimeoutMs: world.settings.surplusIdleMs,
     probedAt: -Infinity,
     rejectedAt: -Infinity,
+    statusRequestedAt: -Infinity,
   };
   group.targets.set(listed.id, row);
   world.targets.set(listed.id, row);
