fix(direct): a log of an older term than the newest proven one is not promoted

What callers saw: after a daemon had used the primary of term 2, it ordered the old primary, whose log of term 1 holds commits that the promotion to term 2 had cut back.

Cause: the candidate with the highest position was chosen among those in reach, whatever the daemon knew of newer terms.

Change: mayHoldDiscarded excludes logs of a term below that of the newest proven primary. A survey that leaves no candidate is logged target by target.

Cutting back is known only to daemons that have seen the newer term; the claims follow.

--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -7,6 +7,7 @@
 import { isCurrent } from './leadership';
 import { probeTargets, requestStatus } from './primaryProbes';
 import { presumePrimary, reviewPrimary } from './primaryTracking';
+import { mayHoldDiscarded } from './promotionHistory';
 import { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 import type { PromotionCandidate } from './promotionPolicy';
 import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
@@ -162,11 +163,21 @@
     : undefined;
 }
 
+/** Ends a promotion without a candidate. */
+function reportNoCandidate(
+  world: World,
+  group: GroupRow,
+  candidates: readonly PromotionCandidate[],
+  now: Millis,
+): void {
+  for (const candidate of candidates) logSurveyed(world, group, candidate, now);
+  abandonPromotion(world, group, 'no candidate', now);
+}
+
 /** Ends a promotion that has claimed nothing. */
 function abandonPromotion(world: World, group: GroupRow, cause: string, now: Millis): void {
   world.io.log({ type: 'promotion_abandoned', group: group.id, cause });
   group.promotion = undefined;
-  group.promotionReasonSince = undefined;
   group.promotionNotBefore = now + UNAVAILABLE_PAUSE_MS;
 }
 
@@ -207,8 +218,13 @@
   const candidates = surveyed.map((target) => describeCandidate(target, promotion));
   const isComplete = candidates.every((one) => one.reply === 'status' || one.failing);
   if (!isComplete && now - promotion.startedAt < settings.statusWaitMs) return;
-  const choice = chooseCandidate(candidates);
-  if (!choice || isTooFarBehind(world, group, promotion.reason, choice, now)) {
+  const history = { term: group.term };
+  const choice = chooseCandidate(candidates.filter((one) => !mayHoldDiscarded(one, history)));
+  if (!choice) {
+    reportNoCandidate(world, group, candidates, now);
+    return;
+  }
+  if (isTooFarBehind(world, group, promotion.reason, choice, now)) {
     group.promotion = undefined;
     group.promotionNotBefore = now + UNAVAILABLE_PAUSE_MS;
     return;
