fix(direct,platform): a claim holds only against the claims that its decision knew

At 21.54 s of the trace the daemon knew of no claim; at 21.766 s it read the store again, which showed the claim of 16.55 s, and wrote its own claim on condition that this one was the newest. The write succeeded.

Cause: the condition of the write was taken from the view at the moment of the write. It showed that nobody had claimed since the last read, not since the decision.

--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -31,7 +31,7 @@
     target.silent = false;
     target.refusing = false;
   };
-  return { ...rig, old, next, other, cut, heal };
+  return Object.assign(rig, { old, next, other, cut, heal });
 }
 
 /** Promotes `next`; the old primary is out of its reach and keeps the end of its log. */
@@ -112,4 +112,18 @@
   assert.equal(rig.promotions, []);
 });
 
+test('a promotion is not ordered after the view has read a newer claim', () => {
+  const rig = createSplitRig();
+  const group = rig.engine.world.groups.get('g');
+  rig.cut(rig.next);
+  rig.cut(rig.other);
+  rig.old.role = 'replica';
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  for (let at = 0; at < 400 && group?.promotion === undefined; at += 1) rig.run(25);
+  assert.is(group?.promotion?.stage, 'survey');
+  rig.claimBasis = { era: 0, revision: 12 };
+  rig.run(400);
+  assert.equal(rig.promotions, []);
+});
+
 test.run();
--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -319,6 +319,7 @@
     reason: 'gone',
     startedAt: rig.now(),
     epoch: 0,
+    basis: rig.claimBasis,
     stage: 'ordered',
     candidate: 't9',
   };
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -3,6 +3,7 @@
 import type {
   CallerAnswer,
   CallerStatement,
+  ClaimBasis,
   ConnectionId,
   DirectEngine,
   DirectLogEvent,
@@ -45,6 +46,8 @@
   readonly answers: ReceivedAnswer[];
   readonly events: DirectLogEvent[];
   readonly promotions: { readonly group: string; readonly target: string }[];
+  /** What the view of the store shows of the group's claims. */
+  claimBasis: ClaimBasis;
   /** Terms of the promotions, in the same order. */
   readonly promotionTerms: number[];
   readonly closedSessions: string[];
@@ -236,7 +239,8 @@
         answers.push({ session, request, answer, state, at: clock.now() });
       },
       closeSession: (session) => closedSessions.push(session),
-      promote: (group, target, term) => {
+      readClaimBasis: () => rig.claimBasis,
+      promote: (group, { target, term }) => {
         promotions.push({ group, target });
         promotionTerms.push(term);
       },
@@ -259,6 +263,7 @@
     answers,
     events,
     promotions,
+    claimBasis: { era: 0, revision: 0 },
     promotionTerms,
     closedSessions,
     sampleRequests,
--- a/packages/direct/src/engineIo.ts
+++ b/packages/direct/src/engineIo.ts
@@ -1,6 +1,7 @@
 import type { GroupId, InstanceId, Millis, RequestId, SessionId, TargetId } from '@rosedeck/shared';
 import type { ListedTarget } from './configuration';
 import type { DirectLogEvent } from './logEvents';
+import type { ClaimBasis, PromotionOrder } from './promotionTypes';
 import type { SampleRequest } from './peerReport';
 import type { QuotaMessage } from './quotas/quotaMessages';
 import type { CallerAnswer, SessionState, TargetOp } from './statements';
@@ -60,11 +61,10 @@
   ) => void;
   /** Closes a caller's session that has no request outstanding. */
   closeSession: (session: SessionId) => void;
-  /**
-   * Claims the promotion of a target to the primary of `term` and orders it; the result arrives as
-   * `promotionEnded`.
-   */
-  promote: (group: GroupId, target: TargetId, term: number) => void;
+  /** Returns what the local view of the store shows of a group's claims. */
+  readClaimBasis: (group: GroupId) => ClaimBasis;
+  /** Claims a promotion and orders it; the result arrives as `promotionEnded`. */
+  promote: (group: GroupId, order: PromotionOrder) => void;
   /** Requests samples from another daemon; a reply, if any, arrives as `samplesReceived`. */
   requestSamples: (peer: InstanceId, request: SampleRequest) => void;
   /** Sends a message about the caps of tenants to another daemon; it may be lost. */
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -120,7 +120,8 @@
   const delayMs = ownPromotionDelayMs(world, group);
   if (now - group.promotionReasonSince < delayMs) return;
   world.io.log({ type: 'promotion_started', group: group.id, reason, ...opinions });
-  group.promotion = { reason, startedAt: now, epoch: world.epoch, stage: 'survey' };
+  const basis = world.io.readClaimBasis(group.id);
+  group.promotion = { reason, startedAt: now, epoch: world.epoch, basis, stage: 'survey' };
 }
 
 /** Why the group needs another primary at this moment; undefined while it does not. */
@@ -156,6 +157,8 @@
   now: Millis,
 ): string | undefined {
   if (promotion.epoch !== world.epoch) return 'a time jump';
+  const { era, revision } = world.io.readClaimBasis(group.id);
+  if (era !== promotion.basis.era || revision !== promotion.basis.revision) return 'a newer claim';
   if (!mayClaim(world, group, now)) return 'no quorum';
   const opinions = countOpinions(world, group.id, primary?.listed.id, now);
   return currentReason(world, group, primary, opinions, now) === undefined
@@ -241,7 +244,8 @@
     knownTerm: group.term,
   });
   for (const candidate of candidates) logSurveyed(world, group, candidate, now);
-  world.io.promote(group.id, choice.id, nextTerm(group));
+  const { basis } = promotion;
+  world.io.promote(group.id, { target: choice.id, term: nextTerm(group), basis });
 }
 
 /** Time that this daemon leaves to those that are ranked before it, in a large fleet the samplers. */
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -22,7 +22,12 @@
 } from './peerReport';
 export { isConfirmer, orderProgress } from './fencing';
 export * from './leadership';
-export type { PromotionReason, PromotionResult } from './promotionTypes';
+export type {
+  ClaimBasis,
+  PromotionOrder,
+  PromotionReason,
+  PromotionResult,
+} from './promotionTypes';
 export type { DirectLogEvent } from './logEvents';
 export * from './placement';
 export { rankPoolOwners } from './poolOwners';
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -16,12 +16,30 @@
   /** Nothing was claimed or ordered. */
   | 'unavailable';
 
+/** What the local view of the store shows of a group's claims. */
+export interface ClaimBasis {
+  /** Era and revision of the newest claim; revision 0: there is none in this era. */
+  readonly era: number;
+  readonly revision: number;
+}
+
+/** A promotion to claim and to order. */
+export interface PromotionOrder {
+  readonly target: TargetId;
+  /** Term of the next primary, as far as known. */
+  readonly term: number;
+  /** The claims as known when the promotion was started; the claim holds only if they are the newest. */
+  readonly basis: ClaimBasis;
+}
+
 /** A promotion that this daemon drives. */
 export interface Promotion {
   readonly reason: PromotionReason;
   readonly startedAt: Millis;
   /** `World.epoch` at the start. */
   readonly epoch: number;
+  /** The claims as known at the start. */
+  readonly basis: ClaimBasis;
   /** `survey`: status replies are awaited; `ordered`: `EngineIo.promote` was called. */
   stage: 'survey' | 'ordered';
   candidate?: TargetId;
