fix(direct,platform): claims tell with which log their target was chosen

A daemon that never saw the new primary lead knows no newer term, so that the newest claim in the store is all that can tell it that the old primary's log has been cut back. The claim named the target alone.

Change: a claim carries the newest log entry of its target by the survey. From the newest claim on, a log is promoted only if it ends within that entry's term at or before it, or holds entries of a later term, or is that of the claimed target; any log of that term may be if the claimed target reports that it is a replica, so that the promotion has not taken effect. Claims of earlier releases have no such entry and exclude nothing.

--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -1,5 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { mayHoldDiscarded } from '../src/index';
+import type { KnownHistory, PromotionCandidate } from '../src/index';
 import type { FakeTarget } from './fakeTarget';
 import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
@@ -126,4 +128,54 @@
   assert.equal(rig.promotions, []);
 });
 
+test('a log beyond that of a claimed target is not promoted by a daemon that never saw it lead', () => {
+  const rig = createSplitRig();
+  rig.cut(rig.next);
+  rig.cut(rig.other);
+  promoteNext(rig);
+  const claim = { target: 't2', received: { term: 1, index: 105 } };
+  rig.claimBasis = { era: 0, revision: 7, claim };
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(8_000);
+  assert.equal(rig.promotions, []);
+  assert.ok(rig.events.some((event) => event.type === 'promotion_abandoned'));
+});
+
+test('the newest log is promoted after a claim that has not taken effect', () => {
+  const rig = createSplitRig();
+  rig.old.role = 'replica';
+  rig.other.received = { term: 1, index: 108 };
+  const claim = { target: 't2', received: { term: 1, index: 105 } };
+  rig.claimBasis = { era: 0, revision: 7, claim };
+  rig.cut(rig.old);
+  reportSuspicion(rig, 't1', 3_000);
+  assert.equal(rig.promotions[0], { group: 'g', target: 't3' });
+});
+
+test('a log may hold discarded commits unless it is of the newest known history', () => {
+  const claim = { target: 'b', received: { term: 2, index: 50 } };
+  const isUnsafe = (
+    position: readonly [number, number],
+    history: Partial<KnownHistory>,
+    change: Partial<PromotionCandidate> = {},
+  ): boolean => {
+    const received = { term: position[0], index: position[1] };
+    const candidate = { id: 'a', received, reply: 'status' as const, ...change };
+    return mayHoldDiscarded(candidate, { term: 0, isRefuted: false, ...history });
+  };
+  assert.is(isUnsafe([2, 50], { term: 3 }), true);
+  assert.is(isUnsafe([3, 10], { term: 3 }), false);
+  assert.is(isUnsafe([2, 50], { claim, term: 3 }), false);
+  assert.is(isUnsafe([2, 51], { claim, term: 3 }), true);
+  assert.is(isUnsafe([2, 50], { claim }, { reply: 'position' }), true);
+  assert.is(isUnsafe([2, 51], { claim }), true);
+  assert.is(isUnsafe([2, 51], { claim, isRefuted: true }), false);
+  assert.is(isUnsafe([2, 51], { claim }, { id: 'b' }), false);
+  assert.is(isUnsafe([2, 51], { claim, term: 3 }, { id: 'b' }), true);
+  assert.is(isUnsafe([1, 10], { claim }), true);
+  assert.is(isUnsafe([3, 51], { claim }), false);
+  assert.is(isUnsafe([0, 0], {}, { received: undefined }), false);
+  assert.is(isUnsafe([0, 0], { claim }, { received: undefined }), true);
+});
+
 test.run();
--- a/packages/direct/src/engineIo.ts
+++ b/packages/direct/src/engineIo.ts
@@ -1,4 +1,4 @@
-import type { GroupId, InstanceId, Millis, RequestId, SessionId, TargetId } from '@rosedeck/shared';
+import type { GroupId, InstanceId, Millis, RequestId, SessionId } from '@rosedeck/shared';
 import type { ListedTarget } from './configuration';
 import type { DirectLogEvent } from './logEvents';
 import type { ClaimBasis, PromotionOrder } from './promotionTypes';
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -8,6 +8,7 @@
 import { probeTargets, requestStatus } from './primaryProbes';
 import { presumePrimary, reviewPrimary } from './primaryTracking';
 import { mayHoldDiscarded } from './promotionHistory';
+import type { KnownHistory } from './promotionHistory';
 import { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 import type { PromotionCandidate } from './promotionPolicy';
 import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
@@ -221,7 +222,7 @@
   const candidates = surveyed.map((target) => describeCandidate(target, promotion));
   const isComplete = candidates.every((one) => one.reply === 'status' || one.failing);
   if (!isComplete && now - promotion.startedAt < settings.statusWaitMs) return;
-  const history = { term: group.term };
+  const history = knownHistory(group, promotion);
   const choice = chooseCandidate(candidates.filter((one) => !mayHoldDiscarded(one, history)));
   if (!choice) {
     reportNoCandidate(world, group, candidates, now);
@@ -245,7 +246,8 @@
   });
   for (const candidate of candidates) logSurveyed(world, group, candidate, now);
   const { basis } = promotion;
-  world.io.promote(group.id, { target: choice.id, term: nextTerm(group), basis });
+  const { id: target, received } = choice;
+  world.io.promote(group.id, { target, received, term: nextTerm(group), basis });
 }
 
 /** Time that this daemon leaves to those that are ranked before it, in a large fleet the samplers. */
@@ -279,6 +281,17 @@
   });
 }
 
+function knownHistory(group: GroupRow, promotion: Promotion): KnownHistory {
+  const { claim } = promotion.basis;
+  const claimed = claim && group.targets.get(claim.target);
+  // A target that has begun to lead reports to be the primary.
+  const isRefuted =
+    claimed !== undefined &&
+    hasStatus(claimed, promotion) &&
+    claimed.status?.report.role === 'replica';
+  return { term: group.term, claim, isRefuted };
+}
+
 /** True when the target has replied to a status request of the promotion. */
 function hasStatus({ status }: TargetRow, promotion: Promotion): boolean {
   return status !== undefined && status.sentAt >= promotion.startedAt;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -5,6 +5,8 @@
 export * from './engine';
 export { mayDeny, nextFreshnessStep, provenAtWith } from './freshness';
 export type { FreshnessInputs, FreshnessProof, FreshnessStep, ProvenView } from './freshness';
+export { mayHoldDiscarded } from './promotionHistory';
+export type { KnownHistory } from './promotionHistory';
 export { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 export type { PrimaryHealth, PromotionCandidate } from './promotionPolicy';
 export type {
@@ -27,6 +29,7 @@
   PromotionOrder,
   PromotionReason,
   PromotionResult,
+  StoredClaim,
 } from './promotionTypes';
 export type { DirectLogEvent } from './logEvents';
 export * from './placement';
--- a/packages/direct/src/promotionHistory.ts
+++ b/packages/direct/src/promotionHistory.ts
@@ -1,9 +1,15 @@
+import { covers } from '@rosedeck/shared';
 import type { PromotionCandidate } from './promotionPolicy';
+import type { StoredClaim } from './promotionTypes';
 
 /** What is known of the log of a group across its promotions. */
 export interface KnownHistory {
   /** Newest term that the log of a proven primary has shown; 0: none. */
   readonly term: number;
+  /** The newest claim; its promotion may have taken effect without this daemon's knowledge. */
+  readonly claim?: StoredClaim;
+  /** The claimed target reports that it is a replica, so that its promotion has not taken effect. */
+  readonly isRefuted: boolean;
 }
 
 /**
@@ -13,8 +19,18 @@
  * the newer term.
  */
 export function mayHoldDiscarded(
-  { received }: Pick<PromotionCandidate, 'received'>,
-  history: KnownHistory,
+  { id, received, reply }: Pick<PromotionCandidate, 'id' | 'received' | 'reply'>,
+  { term, claim, isRefuted }: KnownHistory,
 ): boolean {
-  return (received?.term ?? 0) < history.term;
+  const base = claim?.received;
+  if (!received) return term > 0 || base !== undefined;
+  // Other replies than a status tell what the target has applied, not all that it holds.
+  const isExact = reply === 'status';
+  const isWithinBase =
+    base !== undefined && isExact && received.term === base.term && covers(base, received);
+  if (isWithinBase) return false;
+  if (received.term < term) return true;
+  if (!base || received.term > base.term) return false;
+  if (received.term < base.term) return true;
+  return id !== claim.target && !isRefuted;
 }
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -1,4 +1,4 @@
-import type { Millis, TargetId } from '@rosedeck/shared';
+import type { Millis, Position, TargetId } from '@rosedeck/shared';
 
 /** Why a group needs another primary; `gone`: the target is no longer listed. */
 export type PromotionReason =
@@ -16,16 +16,27 @@
   /** Nothing was claimed or ordered. */
   | 'unavailable';
 
+/** A claim to promote a target, as the store has it. */
+export interface StoredClaim {
+  readonly target: TargetId;
+  /** Log with which the target was chosen; absent in claims of earlier releases. */
+  readonly received?: Position;
+}
+
 /** What the local view of the store shows of a group's claims. */
 export interface ClaimBasis {
   /** Era and revision of the newest claim; revision 0: there is none in this era. */
   readonly era: number;
   readonly revision: number;
+  /** The newest readable claim, also one of an older era; absent: there is none. */
+  readonly claim?: StoredClaim;
 }
 
 /** A promotion to claim and to order. */
 export interface PromotionOrder {
   readonly target: TargetId;
+  /** Newest log entry that the target holds, by its reply. */
+  readonly received?: Position;
   /** Term of the next primary, as far as known. */
   readonly term: number;
   /** The claims as known when the promotion was started; the claim holds only if they are the newest. */
