fix(direct,platform): an isolated daemon does not take its own cut for a group without a primary

Cause: 'nobody_leads' and 'unreachable' waited four seconds for opinions and then took their absence for a reason. A daemon that hears nobody is in the same position as one that is cut off.

Change: without opinions there is a reason only if the view of the store has been proven complete since the primary was lost. Nothing could be claimed without the store in any case.

Evidence: 'a daemon that hears nobody and has not reached the store since starts no promotion' is new, as are two assertions on findPromotionReason; before, the promotion started after four seconds whatever the age, which the interface did not have.

--- a/packages/direct/__tests__/decisions.spec.ts
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -192,6 +192,7 @@
   unlisted: false,
   suspected: true,
   primaryDownMs: 1_000,
+  storeAgeMs: 0,
   replicasLaggingMs: 0,
   hasPeers: true,
   proven: true,
@@ -249,6 +250,9 @@
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 300 }), undefined);
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 2_000 }), undefined);
   assert.is(findPromotionReason({ ...health, known: false, primaryDownMs: 5_000 }), 'nobody_leads');
+  const leaderless = { ...health, known: false, primaryDownMs: 5_000 };
+  assert.is(findPromotionReason({ ...leaderless, storeAgeMs: 5_500 }), undefined);
+  assert.is(findPromotionReason({ ...leaderless, storeAgeMs: 5_500, trusting: 1 }), 'nobody_leads');
   const claimed = { ...health, proven: false, primaryDownMs: 9_000 };
   assert.is(findPromotionReason(claimed), undefined);
   assert.is(findPromotionReason({ ...claimed, suspecting: 2 }), 'unreachable');
--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -123,7 +123,7 @@
   rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
   for (let at = 0; at < 400 && group?.promotion === undefined; at += 1) rig.run(25);
   assert.is(group?.promotion?.stage, 'survey');
-  rig.claimBasis = { era: 0, revision: 12 };
+  rig.claimBasis = { era: 0, ageMs: 0, revision: 12 };
   rig.run(400);
   assert.equal(rig.promotions, []);
 });
@@ -134,7 +134,7 @@
   rig.cut(rig.other);
   promoteNext(rig);
   const claim = { target: 't2', received: { term: 1, index: 105 } };
-  rig.claimBasis = { era: 0, revision: 7, claim };
+  rig.claimBasis = { era: 0, ageMs: 0, revision: 7, claim };
   rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
   rig.run(8_000);
   assert.equal(rig.promotions, []);
@@ -146,12 +146,30 @@
   rig.old.role = 'replica';
   rig.other.received = { term: 1, index: 108 };
   const claim = { target: 't2', received: { term: 1, index: 105 } };
-  rig.claimBasis = { era: 0, revision: 7, claim };
+  rig.claimBasis = { era: 0, ageMs: 0, revision: 7, claim };
   rig.cut(rig.old);
   reportSuspicion(rig, 't1', 3_000);
   assert.equal(rig.promotions[0], { group: 'g', target: 't3' });
 });
 
+test('a daemon that hears nobody and has not reached the store since starts no promotion', () => {
+  const rig = createSplitRig();
+  rig.old.role = 'replica';
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.cut(rig.next);
+  rig.cut(rig.other);
+  const lostAt = rig.now();
+  for (let at = 0; at < 8_000; at += 25) {
+    rig.claimBasis = { ...rig.claimBasis, ageMs: rig.now() - lostAt + 500 };
+    rig.run(25);
+  }
+  const isStarted = (): boolean => rig.events.some(({ type }) => type === 'promotion_started');
+  assert.is(isStarted(), false);
+  rig.claimBasis = { ...rig.claimBasis, ageMs: 0 };
+  rig.run(1_500);
+  assert.is(isStarted(), true);
+});
+
 test('a log may hold discarded commits unless it is of the newest known history', () => {
   const claim = { target: 'b', received: { term: 2, index: 50 } };
   const isUnsafe = (
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -263,7 +263,7 @@
     answers,
     events,
     promotions,
-    claimBasis: { era: 0, revision: 0 },
+    claimBasis: { era: 0, revision: 0, ageMs: 0 },
     promotionTerms,
     closedSessions,
     sampleRequests,
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -139,6 +139,7 @@
     unlisted: primary?.unlistedSince !== undefined,
     suspected: group.suspectedPrimary !== undefined,
     primaryDownMs: group.primaryDownSince === undefined ? 0 : now - group.primaryDownSince,
+    storeAgeMs: world.io.readClaimBasis(group.id).ageMs,
     // Without a fence a promotion leaves the group without a primary for a time, and may cost commits.
     replicasLaggingMs: world.settings.promotionsFenced
       ? trackLaggingReplicas(world, group, now)
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -13,6 +13,8 @@
   readonly suspected: boolean;
   /** Time without a usable primary. */
   readonly primaryDownMs: Millis;
+  /** Age of the newest proof that this daemon's view of the store is complete. */
+  readonly storeAgeMs: Millis;
   /** Time that all replicas have lagged too far for any read, while reads wait for the primary. */
   readonly replicasLaggingMs: Millis;
   /** This or another daemon has proof of the primary; false for one that was only claimed. */
@@ -44,18 +46,22 @@
  *
  * Where other daemons have proof of another primary, or a primary was claimed that this daemon never
  * reached and nobody else suspects, this one may be isolated from it. A promotion could then restore
- * commits that the other primary has discarded.
+ * commits that the other primary has discarded. The same holds for a daemon that has heard neither of
+ * the others' opinions nor from the store since it lost the primary.
  */
 export function findPromotionReason(health: PrimaryHealth): PromotionReason | undefined {
   if (health.elsewhere > 0) return undefined;
   if (health.known && health.leaving) return 'leaving';
   const lacksOpinions = health.hasPeers && health.suspecting + health.trusting === 0;
+  const isUninformed = lacksOpinions && health.storeAgeMs > health.primaryDownMs;
+  if (!health.known && isUninformed) return undefined;
   if (!health.known && lacksOpinions && health.primaryDownMs < NO_OPINIONS_WAIT_MS)
     return undefined;
   if (!health.known) return health.primaryDownMs > LEADERLESS_WAIT_MS ? 'nobody_leads' : undefined;
   if (!health.suspected)
     return health.replicasLaggingMs > REPLICAS_LAGGING_MS ? 'replicas_behind' : undefined;
   if (health.unlisted) return 'gone';
+  if (isUninformed) return undefined;
   if (lacksOpinions && !health.proven) return undefined;
   if (lacksOpinions && health.primaryDownMs < NO_OPINIONS_WAIT_MS) return undefined;
   return health.suspecting + 1 > health.trusting ? 'unreachable' : undefined;
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -30,6 +30,8 @@
   readonly revision: number;
   /** The newest readable claim, also one of an older era; absent: there is none. */
   readonly claim?: StoredClaim;
+  /** Age of the newest proof that the view is complete. */
+  readonly ageMs: Millis;
 }
 
 /** A promotion to claim and to order. */
