fix(direct,platform): a claimed promotion is ordered only while its reason stands

A claim takes up to one second, its confirmation another one, and an order up to three calls of 600 ms; a primary that proves its lead in that time was replaced all the same, with a candidate chosen before it.

Cause: between the choice of a candidate and the order nothing was looked at again where the platform fences the old primary; after a suspension of the process the order was sent, too.

The engine answers by the same reason as at the start, and not after a time jump. Without a fence of the platform the claim has ended the use of the old primary already, so that the promotion goes on.

--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -152,6 +152,18 @@
   assert.equal(rig.promotions[0], { group: 'g', target: 't3' });
 });
 
+test('a claimed promotion has to be ordered only while its reason stands', () => {
+  const rig = createSplitRig();
+  rig.cut(rig.old);
+  reportSuspicion(rig, 't1', 1_400);
+  const target = rig.promotions[0]?.target ?? '';
+  assert.is(rig.engine.mustOrder('g', target), true);
+  assert.is(rig.engine.mustOrder('g', 't9'), false);
+  rig.heal(rig.old);
+  rig.run(600);
+  assert.is(rig.engine.mustOrder('g', target), false);
+});
+
 test('a daemon that hears nobody and has not reached the store since starts no promotion', () => {
   const rig = createSplitRig();
   rig.old.role = 'replica';
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -13,7 +13,7 @@
 import { runDispatch } from './dispatch';
 import type { ExecutionHooks } from './requestFailures';
 import { applyLeaderships, hasQuorum, confirmersOf } from './fencing';
-import { applyPromotionEnd, expectPrimary } from './failover';
+import { applyPromotionEnd, expectPrimary, mustOrder } from './failover';
 import { applyListed, applyPeerReport } from './fleet';
 import { recordDomainLoads, recordTotals } from './groupLoads';
 import type {
@@ -104,6 +104,8 @@
   storeRead: (sentAt: Millis) => void;
   /** True when the store has to be read for claims, as too few confirmers are heard. */
   needsClaims: () => boolean;
+  /** Whether the promotion of a target, once claimed, still has to be ordered. */
+  mustOrder: (group: GroupId, target: TargetId) => boolean;
   promotionEnded: (group: GroupId, target: TargetId, result: PromotionResult) => void;
   /** The process was suspended or the time of day was set: recorded times may be wrong. */
   timeJumped: (byMs: Millis) => void;
@@ -264,6 +266,10 @@
       world.fleet.storeReadAt = Math.max(world.fleet.storeReadAt, sentAt);
     },
     needsClaims: () => !world.settings.promotionsFenced && !hasQuorum(world, clock.now()),
+    mustOrder: (id, target) => {
+      const group = world.groups.get(id);
+      return group !== undefined && mustOrder(world, group, target, clock.now());
+    },
     promotionEnded: (id, target, result) => {
       const group = world.groups.get(id);
       if (group) applyPromotionEnd(world, group, target, result, clock.now());
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -357,6 +357,24 @@
   return !choice.received || positionOrd.compare(choice.received, old.position) < 0;
 }
 
+/**
+ * Whether a claimed promotion still has to be ordered: the store may have taken seconds. Where
+ * promotions are not fenced, the claim itself has ended the use of the old primary.
+ */
+export function mustOrder(
+  world: World,
+  group: GroupRow,
+  candidate: TargetId,
+  now: Millis,
+): boolean {
+  const { promotion, primary } = group;
+  if (promotion?.candidate !== candidate || promotion.epoch !== world.epoch) return false;
+  if (!world.settings.promotionsFenced) return true;
+  const row = primary === undefined ? undefined : group.targets.get(primary);
+  const opinions = countOpinions(world, group.id, primary, now);
+  return currentReason(world, group, row, opinions, now) !== undefined;
+}
+
 /** Applies the result of a promotion order. */
 export function applyPromotionEnd(
   world: World,
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -14,7 +14,9 @@
   /** No reply; the order may still be carried out. */
   | 'unknown'
   /** Nothing was claimed or ordered. */
-  | 'unavailable';
+  | 'unavailable'
+  /** Its reason was gone once it was claimed, so that it was not ordered. */
+  | 'obsolete';
 
 /** A claim to promote a target, as the store has it. */
 export interface StoredClaim {
