fix(direct,platform): a claim that only a full read shows names the next primary

A daemon that had been without the store's changes could replace a primary that another daemon had just chosen, with a log that the first promotion had cut back; callers then read without commits that had been acknowledged.

Claims reached the engine from watches only. Where the store has discarded the history of a watch, or a peer sends its complete view, the claims came as "out of date" and changed nothing but the revision on which the next claim is based, so that this one succeeded.

As with a claim of a watch, a promotion that is not ordered yet ends, and the next one waits until the claim has timed out. The time until the first proof is not counted as that of a promotion, since the claim may be seconds old.

--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -261,6 +261,24 @@
   assert.equal(rig.promotions, []);
 });
 
+test('a claim that was missed delays a promotion, and says nothing of the time that one takes', () => {
+  const rig = createWarmRig();
+  const [old, next] = rig.targets;
+  const group = rig.engine.world.groups.get('g');
+  if (!old || !next || !group) throw new Error('no targets');
+  const before = group.promotionMs.value;
+  old.refusing = true;
+  rig.reset(old);
+  rig.engine.claimMissed('g', 't2');
+  rig.run(1_500);
+  assert.is(rig.promotions.length, 0);
+  next.role = 'primary';
+  next.received = { term: 2, index: 120 };
+  rig.run(500);
+  assert.is(group.primary, 't2');
+  assert.is(group.promotionMs.value, before);
+});
+
 test('a claimed primary that is unlisted and cannot be reached is replaced', () => {
   const rig = createWarmRig();
   const [old, next] = rig.targets;
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -25,6 +25,7 @@
 } from './peerReport';
 import type { PromotionResult } from './promotionTypes';
 import { isIsolated } from './isolation';
+import { applyMissedClaim } from './missedClaims';
 import { applyPoolLink } from './poolLinks';
 import { isPooled } from './poolOwners';
 import { shedPooledRequests } from './pooledAdmission';
@@ -96,6 +97,8 @@
   closeSession: (session: SessionId) => void;
   /** A claim in the store names the target as the group's next primary. */
   claimSeen: (group: GroupId, target: TargetId) => void;
+  /** As `claimSeen`, for a claim that was written at an unknown time while this daemon missed it. */
+  claimMissed: (group: GroupId, target: TargetId) => void;
   /** Applies leaderships that claims or another daemon name; the older primaries get no work. */
   leadershipsSeen: (leaderships: readonly GroupLeadership[]) => void;
   /** All claims in the store have been applied, as read at `sentAt` or later. */
@@ -251,6 +254,11 @@
       if (group) expectPrimary(world, group, target, clock.now());
       dispatchPending();
     },
+    claimMissed: (id, target) => {
+      const group = world.groups.get(id);
+      if (group) applyMissedClaim(world, group, target, clock.now());
+      dispatchPending();
+    },
     leadershipsSeen: (leaderships) => {
       applyLeaderships(world, leaderships);
       dispatchPending();
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -22,8 +22,9 @@
   group.term = position.term;
   addSample(group.samples, { position, sentAt: sent.sentAt });
   group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
-  if (group.expectedPrimary?.target === target.listed.id) {
-    updateAverage(group.promotionMs, sent.sentAt - group.expectedPrimary.since);
+  const expected = group.expectedPrimary;
+  if (expected?.target === target.listed.id) {
+    if (!expected.isMissed) updateAverage(group.promotionMs, sent.sentAt - expected.since);
     group.expectedPrimary = undefined;
   }
   if (group.primary !== target.listed.id) setPrimary(world, group, target.listed.id, 'it leads');
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -210,7 +210,12 @@
   contested: boolean;
   promotion?: Promotion;
   /** The target that a claim in the store names as the next primary. */
-  expectedPrimary?: { readonly target: TargetId; readonly since: Millis };
+  expectedPrimary?: {
+    readonly target: TargetId;
+    readonly since: Millis;
+    /** The claim was written at an unknown time before `since`. */
+    readonly isMissed?: true;
+  };
   /** Average time from the claim to the first reply of the new primary. */
   readonly promotionMs: MovingAverage;
   /** Average interval at which the targets renew their entries in the platform's list. */
