fix(direct): only a primary that led confirms that the old one stopped

Where the platform does not fence the old primary, a promotion could be ordered at once while daemons that had missed two claims in a row still used the old primary: their callers could read without the commits of the new one.

An order does not wait for other daemons once the replaced primary has stepped down. After a claim that was never carried out, its target counts as the primary without proof. At the next claim it was asked to step down, and replied that it is a replica, which it had been all the while.

The reply counts only if the target had proven to lead the newest leadership that was known before the claim; else the order waits for the acknowledgements. The target is asked to step down in any case.

The first of the two tests failed before: the progress of the order showed a primary that had stepped down.

--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -361,6 +361,30 @@
   );
 });
 
+test('a replica that was only claimed as the primary does not confirm that the old one stopped', () => {
+  const rig = createUnfencedRig();
+  rig.engine.claimSeen('g', 't2');
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  const [old] = rig.targets;
+  if (!old) throw new Error('no targets');
+  // Cut off from here, the old primary serves the daemons that have missed the claim.
+  old.silent = true;
+  old.refusing = true;
+  rig.reset(old);
+  hearOthers(rig, OTHERS, 3_000);
+  assert.is(rig.engine.world.groups.get('g')?.primary, 't2');
+  rig.engine.leadershipsSeen([claim(3, 't3', 60)]);
+  hearOthers(rig, OTHERS, 300);
+  assert.not.ok(orderProgress(rig.engine.world, 'g', new Set()).steppedDown);
+});
+
+test('a proven primary that steps down confirms that it stopped', () => {
+  const rig = createUnfencedRig();
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  hearOthers(rig, OTHERS, 300);
+  assert.ok(orderProgress(rig.engine.world, 'g', new Set()).steppedDown);
+});
+
 test('nothing is ordered while the directory is empty', () => {
   const rig = createRig({ promotionsFenced: false });
   const progress = orderProgress(rig.engine.world, 'g', new Set());
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -109,6 +109,7 @@
 /** Records a leadership, unless a newer one is known; the primary of an older one gets no work. */
 export function recordLeadership(world: World, group: GroupRow, leadership: Leadership): void {
   if (world.settings.promotionsFenced || !supersedes(leadership, group.newest)) return;
+  const ledNewest = isProvenNewest(group);
   group.newest = leadership;
   if (isCurrent(leadership, group.leaderTerm, group.primary)) return;
   world.io.log({
@@ -122,14 +123,23 @@
   });
   group.primaryProvenAt = undefined;
   group.primaryLearnedAt = undefined;
+  const { primary } = group;
+  const since = world.clock.now();
   group.replaced =
-    group.primary === undefined || group.primary === leadership.target
+    primary === undefined || primary === leadership.target
       ? undefined
-      : { target: group.primary, since: world.clock.now(), askedAt: -Infinity, steppedDown: false };
+      : { target: primary, since, askedAt: -Infinity, steppedDown: false, ledNewest };
   world.groupsToDispatch.add(group);
   driveStepDown(world, group, world.clock.now());
 }
 
+/** Whether the primary has proven to lead, and no newer leadership is known. */
+function isProvenNewest(group: GroupRow): boolean {
+  const { primary, newest, targets } = group;
+  const ledTerm = primary === undefined ? undefined : targets.get(primary)?.ledTerm;
+  return ledTerm !== undefined && isCurrent(newest, ledTerm, primary);
+}
+
 /** Asks the replaced primary of a group to step down, until it does or the time is over. */
 export function driveStepDown(world: World, group: GroupRow, now: Millis): void {
   const { replaced, newest } = group;
@@ -205,7 +215,7 @@
   const hasAcknowledged = (name: InstanceId): boolean =>
     name === world.self.name || acknowledgedBy.has(name);
   return {
-    steppedDown: row?.replaced?.steppedDown === true,
+    steppedDown: row?.replaced?.ledNewest === true && row.replaced.steppedDown,
     daemons: names.size,
     acknowledged: [...names].filter(hasAcknowledged).length,
     confirmers: confirmers.length,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -159,6 +159,8 @@
   readonly since: Millis;
   askedAt: Millis;
   steppedDown: boolean;
+  /** It led the newest leadership known before the claim, so that no other target still may. */
+  readonly ledNewest: boolean;
 }
 
 /** A database group that the configuration routes to. */
