fix(direct): a promotion that was decided before a suspension is not ordered after it

A daemon that was suspended, or whose time of day was set, while it surveyed a group could replace a primary that served again, or that another daemon had chosen meanwhile.

A time jump discards the proofs, the samples and the failures on which a promotion rests, but not the survey under way, which went on and ordered the promotion. The time without a primary also counted on from before the jump, while what would have ended it had been discarded.

Both end with a time jump now, so that the daemon looks at the group again.

The test failed before: a promotion was ordered after the jump although the primary was back.

--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -279,6 +279,22 @@
   assert.is(group.promotionMs.value, before);
 });
 
+test('a promotion that was decided before a suspension is not ordered after it', () => {
+  const rig = createWarmRig();
+  const [old, , other] = rig.targets;
+  const group = rig.engine.world.groups.get('g');
+  if (!old || !other || !group) throw new Error('no targets');
+  old.refusing = true;
+  rig.reset(old);
+  other.silent = true;
+  for (let at = 0; at < 2_000 && !group.promotion; at += 1) rig.run(1);
+  assert.is(group.promotion?.stage, 'survey');
+  rig.engine.timeJumped(5_000);
+  old.refusing = false;
+  rig.run(2_000);
+  assert.equal(rig.promotions, []);
+});
+
 test('a claimed primary that is unlisted and cannot be reached is replaced', () => {
   const rig = createWarmRig();
   const [old, next] = rig.targets;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -148,7 +148,10 @@
   if (world.targets.get(row.listed.id) === row) world.targets.delete(row.listed.id);
 }
 
-/** Discards proofs and samples after a time jump: their clock may have stood still. */
+/**
+ * Discards proofs, samples and what was decided on them after a time jump: their clock may have stood
+ * still.
+ */
 export function resetAfterTimeJump(world: World, byMs: Millis): void {
   world.epoch += 1;
   world.timeJumpedAt = world.clock.now();
@@ -156,8 +159,10 @@
     group.samples.length = 0;
     group.primaryProvenAt = undefined;
     group.primaryLearnedAt = undefined;
+    group.primaryDownSince = undefined;
     group.promotionReasonSince = undefined;
     group.expectedPrimary = undefined;
+    if (group.promotion?.stage === 'survey') group.promotion = undefined;
   }
   world.claimsReadAt = -Infinity;
   for (const target of world.targets.values()) {
