fix(direct): a time jump does not make a daemon forget the claim of another one

A daemon whose time of day was set, or that was suspended, just after another one had claimed a promotion could order the old primary back: reads at the new one had been right, and its commits were lost.

A time jump discarded the expected primary with the proofs, since its age was unknown. Without it the group has no primary as soon as the old one replies that it does not lead, and the old one, with the commits that were cut back, has the longest log.

The claim stands after a jump, and its time begins anew.

--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -295,6 +295,27 @@
   assert.equal(rig.promotions, []);
 });
 
+test('a time jump does not make a daemon forget the claim of another one', () => {
+  const rig = createWarmRig();
+  const [old, next, other] = rig.targets;
+  if (!old || !next || !other) throw new Error('no targets');
+  rig.engine.applyDirectory(['d1', 'd2', 'd3'].map((name) => ({ name, failureDomain: 'a' })));
+  // This daemon reaches only the old primary, which holds commits that the promotion discarded.
+  old.received = { term: 1, index: 120 };
+  for (const target of [next, other]) {
+    target.silent = true;
+    target.refusing = true;
+    rig.reset(target);
+  }
+  old.role = 'replica';
+  rig.applyList((listed) => ({ ...listed, role: 'replica', revision: 2 }));
+  rig.engine.claimSeen('g', 't2');
+  rig.engine.timeJumped(1_000);
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(12_000);
+  assert.equal(rig.promotions, []);
+});
+
 test('a claimed primary that is unlisted and cannot be reached is replaced', () => {
   const rig = createWarmRig();
   const [old, next] = rig.targets;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -154,14 +154,17 @@
  */
 export function resetAfterTimeJump(world: World, byMs: Millis): void {
   world.epoch += 1;
-  world.timeJumpedAt = world.clock.now();
+  const now = world.clock.now();
+  world.timeJumpedAt = now;
   for (const group of world.groups.values()) {
     group.samples.length = 0;
     group.primaryProvenAt = undefined;
     group.primaryLearnedAt = undefined;
     group.primaryDownSince = undefined;
     group.promotionReasonSince = undefined;
-    group.expectedPrimary = undefined;
+    const expected = group.expectedPrimary;
+    // The age of the claim is unknown now, but it stands.
+    if (expected) group.expectedPrimary = { ...expected, since: now, isMissed: true };
     if (group.promotion?.stage === 'survey') group.promotion = undefined;
   }
   world.claimsReadAt = -Infinity;
