fix(direct): a status requested before a promotion is no answer to its survey

The survey of a promotion could count a position that a target had reported for an earlier one: the replica with the newest log was then passed over, and the commits that only it held were lost.

A status was dated by its arrival, so that a late reply to the survey before counted as one of the present survey, and the promotion was ordered without waiting for the new reply.

It is dated by its request, as proofs and samples are.

The test failed before: the promotion was ordered upon statuses requested 300 ms before its start.

--- a/packages/direct/__tests__/failover.spec.ts
+++ b/packages/direct/__tests__/failover.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { remainingWaitMs } from '../src/index';
 import type { PeerReport } from '../src/index';
+import { recordStatus } from '../src/primaryTracking';
 import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
@@ -316,6 +317,33 @@
   assert.equal(rig.promotions, []);
 });
 
+test('a status that was requested before a promotion is no answer to its survey', () => {
+  const rig = createWarmRig();
+  const [old, next, other] = rig.targets;
+  const { world } = rig.engine;
+  const group = world.groups.get('g');
+  if (!old || !next || !other || !group) throw new Error('no targets');
+  old.refusing = true;
+  rig.reset(old);
+  next.silent = true;
+  other.silent = true;
+  for (let at = 0; at < 2_000 && !group.promotion; at += 1) rig.run(1);
+  const startedAt = group.promotion?.startedAt ?? 0;
+  const reply = { kind: 'done', rows: [], digest: '', inTransaction: false } as const;
+  const status = { role: 'replica', term: 1, received: { term: 1, index: 90 } } as const;
+  const sent = { op: 'status', epoch: 0, handle: () => undefined } as const;
+  const answer = (sentAt: number): void => {
+    for (const target of group.targets.values())
+      recordStatus(world, target, { ...reply, status }, { ...sent, sentAt });
+    rig.run(60);
+  };
+  answer(startedAt - 300);
+  assert.is(rig.promotions.length, 0);
+
+  answer(startedAt);
+  assert.is(rig.promotions.length, 1);
+});
+
 test('a claimed primary that is unlisted and cannot be reached is replaced', () => {
   const rig = createWarmRig();
   const [old, next] = rig.targets;
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -63,7 +63,7 @@
   sent: SentOp,
 ): void {
   if (reply.kind !== 'done' || !reply.status) return;
-  target.status = { report: reply.status, at: world.clock.now() };
+  target.status = { report: reply.status, at: sent.sentAt };
   if (world.settings.promotionsFenced) return;
   if (reply.status.role !== 'primary') {
     target.ledTerm = undefined;
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -132,6 +132,7 @@
   ledTerm?: number;
   /** When the target last replied that it is not the primary. */
   notPrimaryAt: Millis;
+  /** Its last status, and when that was requested. */
   status?: { readonly report: TargetStatus; readonly at: Millis };
   readonly rating: LatencyRating;
   /** When the target last replied to a statement. */
