fix(core): a replica that lost applied data is as old as what it still has

A read with a maximum age could run on a replica that had restarted, or whose log had been cut, and that had to apply its log again: it missed commits that were older than the limit.

The age of a target's data was only ever raised. The report after the restart showed how little it had applied, but its age stayed the one of before, up to the read's maximum age.

A report that does not cover what the target had applied before discards the age, which the samples then give again.

The test failed before: the read ran on the replica with 2 of 15 entries.

--- a/packages/core/__tests__/reads.spec.ts
+++ b/packages/core/__tests__/reads.spec.ts
@@ -66,6 +66,20 @@
   assert.is.not(rig.targetOf('r'), 'a');
 });
 
+test('a replica that lost applied data by a restart is as old as what it still has', () => {
+  const rig = createRig();
+  rig.targets.a.received = rig.targets.a.applied = at(1, 15);
+  rig.targets.b.received = rig.targets.b.applied = at(1, 15);
+  rig.run(100);
+  rig.targets.b.received = rig.targets.b.applied = at(1, 2);
+  rig.targets.c.received = rig.targets.c.applied = at(1, 2);
+  rig.targets.a.up = false;
+  rig.run(40);
+  rig.send({ id: 'r', op: 'read', minPosition: at(1, 1), maxAgeMs: 1_000 });
+  rig.run(20);
+  assert.is(rig.executions('r').length, 0);
+});
+
 test('target reports from before a process suspension are not used after it', () => {
   const rig = createRig();
   rig.targets.a.delayMs = rig.targets.b.delayMs = rig.targets.c.delayMs = 500;
--- a/packages/core/src/probeRounds.ts
+++ b/packages/core/src/probeRounds.ts
@@ -57,6 +57,8 @@
   report: TargetReport,
   sentAt: Millis,
 ): void {
+  // A restart or a cut log takes back what the target had applied.
+  if (target.report && !covers(report.applied, target.report.applied)) target.dataAsOf = undefined;
   target.report = report;
   target.reportAt = world.policies.reportValidAt(sentAt, world.clock.now());
   refreshPrimary(world, group);
