fix(direct,platform): a daemon without a configuration confirms no primary

Where the platform does not fence the old primary, daemons that had missed a claim could go on using the old primary after daemons that knew of the claim had restarted: callers could read there without newer commits.

A daemon that has just started has no groups: it acknowledged claims which it had nowhere to keep, and its reports counted as those of a confirmer that knows of no newer claim.

--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -9,7 +9,7 @@
   supersedes,
 } from '../src/index';
 import type { GroupLeadership, OrderInputs, ReplacementInputs } from '../src/index';
-import { confirmersOf } from '../src/fencing';
+import { confirmersOf, hasLease } from '../src/fencing';
 import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
@@ -94,6 +94,19 @@
   assert.is(rig.targets[0]?.executed.length, 0);
 });
 
+test('daemons without a configuration do not confirm that no newer claim stands', () => {
+  const rig = createUnfencedRig();
+  for (let at = 0; at < 900; at += 100) {
+    for (const name of OTHERS) rig.engine.applyPeer(createReport(name, { config: 0 }));
+    rig.run(100);
+  }
+  assert.not.ok(hasLease(rig.engine.world, rig.now()));
+  const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(100);
+  assert.is.not(rig.answerOf(id)?.answer.kind, 'done');
+  assert.is(rig.targets[0]?.executed.length, 0);
+});
+
 test('a commit that the old primary acknowledges after a claim has an unknown outcome', () => {
   const rig = createUnfencedRig();
   if (rig.targets[0]) rig.targets[0].runMs = 200;
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -40,12 +40,17 @@
   return confirmers.length > 0 && countHeard(world, now) >= quorumOf(confirmers.length);
 }
 
-/** Confirmers that have reported within the time of a lease, this daemon included. */
+/**
+ * Confirmers that have reported within the time of a lease, this daemon included. One without a
+ * configuration has just started and keeps no claims.
+ */
 function countHeard(world: World, now: Millis): number {
   const { confirmers, peers } = world.fleet;
   const heard = confirmers.filter(({ name }) => {
     if (name === world.self.name) return true;
-    return now - (peers.get(name)?.at ?? -Infinity) < world.settings.leadershipLeaseMs;
+    const peer = peers.get(name);
+    if (!peer || peer.report.config === 0) return false;
+    return now - peer.at < world.settings.leadershipLeaseMs;
   });
   return heard.length;
 }
