fix(core): a promotion ends if its reason is gone while the term is claimed

A group could lose a primary that answered again: its callers' writes in progress were refused, and the group had no primary for the time of a failover.

The decision was taken once, when the promotion started. While the store was slow to answer the claim the primary may have come back, and the targets were fenced nevertheless.

The reason is looked at again with each report until the targets are fenced.

The test failed before: three targets were asked to adopt the next term.

--- a/packages/core/__tests__/failover.spec.ts
+++ b/packages/core/__tests__/failover.spec.ts
@@ -45,6 +45,20 @@
   assert.is(promotedTargets(rig).length, 1);
 });
 
+test('a primary that answers again while the term is claimed is not replaced', () => {
+  const rig = createRig();
+  rig.run(300);
+  rig.claim = undefined;
+  rig.targets.a.up = false;
+  rig.targets.b.contactAgeMs = rig.targets.c.contactAgeMs = 400;
+  for (let at = 0; at < 2_000 && rig.list('claim_term').length === 0; at += 1) rig.run(1);
+  rig.targets.a.up = true;
+  rig.targets.b.contactAgeMs = rig.targets.c.contactAgeMs = 0;
+  rig.run(1_000);
+  assert.is(rig.list('claim_term').length, 1);
+  assert.is(rig.list('adopt_term').length, 0);
+});
+
 test('a promotion continues when the store is unavailable for the claim', () => {
   const rig = createRig();
   rig.claim = { result: 'unavailable' };
--- a/packages/core/src/detection.ts
+++ b/packages/core/src/detection.ts
@@ -1,15 +1,23 @@
 import type { Millis } from '@rosedeck/shared';
 import { isOwner } from './ownership';
-import { startPromotion } from './promotion';
+import { cancelPromotion, startPromotion } from './promotion';
 import { silenceOf } from './silence';
 import { isSwitchoverDue } from './switchover';
 import type { GroupRow, Promotion, TargetRow } from './tables';
 import { majorityOf, recordLogEvent, targetsOf } from './world';
 import type { World } from './world';
 
-/** Checks whether a group lacks a working primary or has a leaving one, and starts a promotion. */
+/**
+ * Checks whether a group lacks a working primary or has a leaving one, and starts a promotion; ends one
+ * that is still being claimed when its reason is gone.
+ */
 export function runDetection(world: World, group: GroupRow, now: Millis): void {
-  if (group.promotion && !isPreparing(group.promotion)) return;
+  if (group.promotion && !isPreparing(group.promotion)) {
+    const mayEnd = group.promotion.stage === 'claiming';
+    if (mayEnd && findPromotionReason(world, group, now) === undefined)
+      cancelPromotion(world, group, now);
+    return;
+  }
   const delayMs = promotionDelay(world, group);
   if (delayMs === undefined) return;
   const reason = findPromotionReason(world, group, now);
--- a/packages/core/src/promotion.ts
+++ b/packages/core/src/promotion.ts
@@ -59,6 +59,11 @@
   queueNextRun(world, group, promotion);
 }
 
+/** Ends a promotion that has fenced no target and whose reason is gone. */
+export function cancelPromotion(world: World, group: GroupRow, now: Millis): void {
+  if (group.promotion) endPromotion(world, group, group.promotion, 'reason_gone', now);
+}
+
 /** Applies the store's result of a claim; when the store is unavailable, the targets' terms decide. */
 export function applyClaim(
   world: World,
