--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -1,42 +1,12 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import {
-  confirmersToReplace,
-  isCurrent,
-  mayOrder,
-  orderProgress,
-  quorumOf,
-  supersedes,
-} from '../src/index';
-import type { GroupLeadership, OrderInputs, ReplacementInputs } from '../src/index';
+import { confirmersToReplace, isCurrent, mayOrder, quorumOf, supersedes } from '../src/index';
+import type { OrderInputs, ReplacementInputs } from '../src/index';
 import { confirmersOf, hasLease } from '../src/fencing';
+import { claim, createUnfencedRig, hearOthers, OTHERS } from './fencingRig';
 import { createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
-const OTHERS = ['d2', 'd3', 'd4', 'd5'];
-
-/** Reports of the other daemons, at least as often as a lease needs. */
-function hearOthers(rig: Rig, names: readonly string[], ms: number): void {
-  for (let at = 0; at < ms; at += 100) {
-    for (const name of names) rig.engine.applyPeer(createReport(name));
-    rig.run(100);
-  }
-}
-
-/** A daemon of a fleet of five whose platform does not fence old primaries. */
-function createUnfencedRig(): Rig {
-  const rig = createRig({ promotionsFenced: false });
-  rig.engine.applyDirectory(['d1', ...OTHERS].map((name) => ({ name, failureDomain: 'a' })));
-  hearOthers(rig, OTHERS, 400);
-  openSession(rig, 's', 'bookings');
-  openSession(rig, 'r', 'loops');
-  return rig;
-}
-
-function claim(term: number, target: string, token = 50): GroupLeadership {
-  return { group: 'g', term, token, target };
-}
-
 /** Submits a write and returns its outcome after `ms`; undefined while it has no answer. */
 function writeOutcome(rig: Rig, ms = 60): string | undefined {
   const id = rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
@@ -357,53 +327,6 @@
   assert.is(rig.promotions.length, 0);
 });
 
-test('the progress of an order counts the daemons of the directory', () => {
-  const rig = createUnfencedRig();
-  const progress = orderProgress(rig.engine.world, 'g', new Set(['d2', 'unlisted']));
-  assert.is(progress.daemons, 5);
-  assert.is(progress.acknowledged, 2);
-});
-
-test('an order waits for daemons that report although they are not listed', () => {
-  const rig = createUnfencedRig();
-  rig.engine.applyPeer(createReport('unlisted'));
-  const listed = new Set(OTHERS);
-  assert.is(orderProgress(rig.engine.world, 'g', listed).daemons, 6);
-  assert.not.ok(
-    mayOrder({ ...orderProgress(rig.engine.world, 'g', listed), sinceQuorumMs: 0, fenceWaitMs: 9 }),
-  );
-});
-
-test('a replica that was only claimed as the primary does not confirm that the old one stopped', () => {
-  const rig = createUnfencedRig();
-  rig.engine.claimSeen('g', 't2');
-  rig.engine.leadershipsSeen([claim(2, 't2')]);
-  const [old] = rig.targets;
-  if (!old) throw new Error('no targets');
-  // Cut off from here, the old primary serves the daemons that have missed the claim.
-  old.silent = true;
-  old.refusing = true;
-  rig.reset(old);
-  hearOthers(rig, OTHERS, 3_000);
-  assert.is(rig.engine.world.groups.get('g')?.primary, 't2');
-  rig.engine.leadershipsSeen([claim(3, 't3', 60)]);
-  hearOthers(rig, OTHERS, 300);
-  assert.not.ok(orderProgress(rig.engine.world, 'g', new Set()).steppedDown);
-});
-
-test('a proven primary that steps down confirms that it stopped', () => {
-  const rig = createUnfencedRig();
-  rig.engine.leadershipsSeen([claim(2, 't2')]);
-  hearOthers(rig, OTHERS, 300);
-  assert.ok(orderProgress(rig.engine.world, 'g', new Set()).steppedDown);
-});
-
-test('nothing is ordered while the directory is empty', () => {
-  const rig = createRig({ promotionsFenced: false });
-  const progress = orderProgress(rig.engine.world, 'g', new Set());
-  assert.not.ok(mayOrder({ ...progress, sinceQuorumMs: 0, fenceWaitMs: 0 }));
-});
-
 test('a contested primary is used again although no quorum is heard', () => {
   const rig = createUnfencedRig();
   const group = rig.engine.world.groups.get('g');
