--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -295,7 +295,7 @@
 
 /** True when the target has replied to a status request of the promotion. */
 function hasStatus({ status }: TargetRow, promotion: Promotion): boolean {
-  return status !== undefined && status.sentAt >= promotion.startedAt;
+  return status !== undefined && status.at >= promotion.startedAt;
 }
 
 /** Replies from before the promotion do not count: the log may have been cut back since. */
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -22,8 +22,9 @@
   group.term = position.term;
   addSample(group.samples, { position, sentAt: sent.sentAt });
   group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
-  if (group.expectedPrimary?.target === target.listed.id) {
-    updateAverage(group.promotionMs, sent.sentAt - group.expectedPrimary.since);
+  const expected = group.expectedPrimary;
+  if (expected?.target === target.listed.id) {
+    if (!expected.isMissed) updateAverage(group.promotionMs, sent.sentAt - expected.since);
     group.expectedPrimary = undefined;
   }
   if (group.primary !== target.listed.id) setPrimary(world, group, target.listed.id, 'it leads');
@@ -62,7 +63,7 @@
   sent: SentOp,
 ): void {
   if (reply.kind !== 'done' || !reply.status) return;
-  target.status = { report: reply.status, at: world.clock.now(), sentAt: sent.sentAt };
+  target.status = { report: reply.status, at: sent.sentAt };
   if (world.settings.promotionsFenced) return;
   if (reply.status.role !== 'primary') {
     target.ledTerm = undefined;
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -132,7 +132,8 @@
   ledTerm?: number;
   /** When the target last replied that it is not the primary. */
   notPrimaryAt: Millis;
-  status?: { readonly report: TargetStatus; readonly at: Millis; readonly sentAt: Millis };
+  /** Its last status, and when that was requested. */
+  status?: { readonly report: TargetStatus; readonly at: Millis };
   /** When its status was last requested for a promotion. */
   statusRequestedAt: Millis;
   /** Applied position in the newest reply, with the time at which the operation was sent. */
@@ -163,6 +164,8 @@
   readonly since: Millis;
   askedAt: Millis;
   steppedDown: boolean;
+  /** It led the newest leadership known before the claim, so that no other target still may. */
+  readonly ledNewest: boolean;
 }
 
 /** A database group that the configuration routes to. */
@@ -214,7 +217,12 @@
   contested: boolean;
   promotion?: Promotion;
   /** The target that a claim in the store names as the next primary. */
-  expectedPrimary?: { readonly target: TargetId; readonly since: Millis };
+  expectedPrimary?: {
+    readonly target: TargetId;
+    readonly since: Millis;
+    /** The claim was written at an unknown time before `since`. */
+    readonly isMissed?: true;
+  };
   /** Average time from the claim to the first reply of the new primary. */
   readonly promotionMs: MovingAverage;
   /** Average interval at which the targets renew their entries in the platform's list. */
