fix(direct,platform): a claim without effect neither bars other logs nor frees those that the one before barred

A claim whose holder died before the order barred every log beyond it for good, so that the group stayed without a primary once the old one was lost (66 abandoned promotions in 30 s). And a second claim without effect took the place of the first one, whose promotion had taken effect.

Cause: only a status of the claimed target could show that a claim had no effect, and the store keeps the newest claim alone.

Change: another target that has proven its lead for longer than an order may be under way refutes a claim, too. A claim carries up to three earlier ones that may have taken effect; the newest one that is not refuted counts. Where promotions are not fenced, a claim needs a quorum, and the newest term alone counts.

--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -191,7 +191,7 @@
   ): boolean => {
     const received = { term: position[0], index: position[1] };
     const candidate = { id: 'a', received, reply: 'status' as const, ...change };
-    return mayHoldDiscarded(candidate, { term: 0, isRefuted: false, ...history });
+    return mayHoldDiscarded(candidate, { term: 0, ...history });
   };
   assert.is(isUnsafe([2, 50], { term: 3 }), true);
   assert.is(isUnsafe([3, 10], { term: 3 }), false);
@@ -199,7 +199,6 @@
   assert.is(isUnsafe([2, 51], { claim, term: 3 }), true);
   assert.is(isUnsafe([2, 50], { claim }, { reply: 'position' }), true);
   assert.is(isUnsafe([2, 51], { claim }), true);
-  assert.is(isUnsafe([2, 51], { claim, isRefuted: true }), false);
   assert.is(isUnsafe([2, 51], { claim }, { id: 'b' }), false);
   assert.is(isUnsafe([2, 51], { claim, term: 3 }, { id: 'b' }), true);
   assert.is(isUnsafe([1, 10], { claim }), true);
@@ -208,4 +207,41 @@
   assert.is(isUnsafe([0, 0], { claim }, { received: undefined }), true);
 });
 
+test('a claim that never took effect does not bar the logs beyond it', () => {
+  for (const isListed of [true, false]) {
+    const rig = createSplitRig();
+    const claim = { target: 't2', received: { term: 1, index: 105 } };
+    rig.claimBasis = { era: 0, ageMs: 0, revision: 7, claim };
+    rig.engine.leadershipsSeen([{ group: 'g', term: 2, token: 7, target: 't2' }]);
+    for (const one of rig.targets) one.applied = one.received = { term: 1, index: 200 };
+    for (let at = 0; at < 70; at += 1) {
+      rig.submit('s', { kind: 'write', text: `WRITE ${at} x` });
+      rig.run(100);
+    }
+    rig.cut(rig.next);
+    if (!isListed) rig.applyList((listed) => (listed.id === 't2' ? undefined : listed));
+    rig.run(1_000);
+    rig.cut(rig.old);
+    reportSuspicion(rig, 't1', 5_000);
+    assert.is(rig.promotions[0]?.target, 't3');
+  }
+});
+
+test('a claim that has not taken effect leaves the one before it in force', () => {
+  const rig = createSplitRig();
+  rig.cut(rig.next);
+  rig.old.role = 'replica';
+  rig.old.applied = rig.old.received = { term: 1, index: 110 };
+  const previous = { target: 't2', received: { term: 1, index: 105 } };
+  const claim = { target: 't3', received: { term: 1, index: 100 }, previous };
+  rig.claimBasis = { era: 0, ageMs: 0, revision: 9, claim };
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(10_000);
+  assert.ok(rig.promotions.length > 0);
+  assert.ok(rig.promotions.every(({ target }) => target === 't3'));
+  assert.equal(rig.orders[0]?.previous, { ...previous, previous: undefined });
+  assert.equal(rig.orders[0]?.received, { term: 1, index: 100 });
+  assert.is(rig.orders[0]?.basis.revision, 9);
+});
+
 test.run();
--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -17,6 +17,8 @@
   dropsReplies: boolean;
   /** Never replies to `status`. */
   ignoresStatus: boolean;
+  /** Time that a reply to `status` takes. */
+  statusMs: number;
   /** Refuses statements with `busy`. */
   repliesBusy: boolean;
   runMs: number;
@@ -54,6 +56,7 @@
     refusing: false,
     dropsReplies: false,
     ignoresStatus: false,
+    statusMs: 0,
     repliesBusy: false,
     runMs: 20,
     slots: 3,
@@ -120,6 +123,13 @@
   if (op.op === 'prepare') connection.prepared.add(op.name);
   if (op.op === 'stepDown' && target.term < op.term) target.role = 'replica';
   if (op.op === 'status' && target.ignoresStatus) return;
+  if (op.op === 'status' && target.statusMs > 0) {
+    schedule(target.statusMs, () => {
+      const { role, term, received } = target;
+      reply({ ...doneReply(target, connection), status: { role, term, received } });
+    });
+    return;
+  }
   const status = { role: target.role, term: target.term, received: target.received };
   const answer = doneReply(target, connection);
   reply(op.op === 'status' || op.op === 'stepDown' ? { ...answer, status } : answer);
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -10,6 +10,7 @@
   DirectSettings,
   ListedTarget,
   PeerReport,
+  PromotionOrder,
   QuotaMessage,
   Route,
   SampleRequest,
@@ -48,6 +49,8 @@
   readonly promotions: { readonly group: string; readonly target: string }[];
   /** What the view of the store shows of the group's claims. */
   claimBasis: ClaimBasis;
+  /** The same promotions as passed on to be ordered. */
+  readonly orders: PromotionOrder[];
   /** Terms of the promotions, in the same order. */
   readonly promotionTerms: number[];
   readonly closedSessions: string[];
@@ -135,6 +138,7 @@
   const events: DirectLogEvent[] = [];
   const promotions: { group: string; target: string }[] = [];
   const promotionTerms: number[] = [];
+  const orders: PromotionOrder[] = [];
   const closedSessions: string[] = [];
   const quotaMessages: { to: string; message: QuotaMessage }[] = [];
   const sampleRequests: ({ readonly peer: string } & SampleRequest)[] = [];
@@ -240,7 +244,9 @@
       },
       closeSession: (session) => closedSessions.push(session),
       readClaimBasis: () => rig.claimBasis,
-      promote: (group, { target, term }) => {
+      promote: (group, order) => {
+        const { target, term } = order;
+        orders.push(order);
         promotions.push({ group, target });
         promotionTerms.push(term);
       },
@@ -264,6 +270,7 @@
     events,
     promotions,
     claimBasis: { era: 0, revision: 0, ageMs: 0 },
+    orders,
     promotionTerms,
     closedSessions,
     sampleRequests,
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -7,11 +7,11 @@
 import { isCurrent } from './leadership';
 import { probeTargets, requestStatus } from './primaryProbes';
 import { presumePrimary, reviewPrimary } from './primaryTracking';
-import { mayHoldDiscarded } from './promotionHistory';
+import { limitChain, mayHoldDiscarded, newestEffective } from './promotionHistory';
 import type { KnownHistory } from './promotionHistory';
 import { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 import type { PromotionCandidate } from './promotionPolicy';
-import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
+import type { Promotion, PromotionReason, PromotionResult, StoredClaim } from './promotionTypes';
 import { isSampler, isScarce, otherSamplers } from './samplers';
 import { trackLaggingReplicas } from './laggingReplicas';
 import type { GroupRow, TargetRow, World } from './tables';
@@ -223,7 +223,7 @@
   const candidates = surveyed.map((target) => describeCandidate(target, promotion));
   const isComplete = candidates.every((one) => one.reply === 'status' || one.failing);
   if (!isComplete && now - promotion.startedAt < settings.statusWaitMs) return;
-  const history = knownHistory(group, promotion);
+  const history = knownHistory(world, group, promotion);
   const choice = chooseCandidate(candidates.filter((one) => !mayHoldDiscarded(one, history)));
   if (!choice) {
     reportNoCandidate(world, group, candidates, now);
@@ -248,7 +248,8 @@
   for (const candidate of candidates) logSurveyed(world, group, candidate, now);
   const { basis } = promotion;
   const { id: target, received } = choice;
-  world.io.promote(group.id, { target, received, term: nextTerm(group), basis });
+  const previous = limitChain(history.claim);
+  world.io.promote(group.id, { target, received, previous, term: nextTerm(group), basis });
 }
 
 /** Time that this daemon leaves to those that are ranked before it, in a large fleet the samplers. */
@@ -282,15 +283,31 @@
   });
 }
 
-function knownHistory(group: GroupRow, promotion: Promotion): KnownHistory {
-  const { claim } = promotion.basis;
-  const claimed = claim && group.targets.get(claim.target);
-  // A target that has begun to lead reports to be the primary.
-  const isRefuted =
-    claimed !== undefined &&
-    hasStatus(claimed, promotion) &&
-    claimed.status?.report.role === 'replica';
-  return { term: group.term, claim, isRefuted };
+function knownHistory(world: World, group: GroupRow, promotion: Promotion): KnownHistory {
+  // Without a fence a claim needs a quorum, which has used the newest primary and knows its term.
+  if (!world.settings.promotionsFenced) return { term: group.term };
+  const claim = newestEffective(promotion.basis.claim, (one) =>
+    isRefuted(world, group, promotion, one),
+  );
+  return { term: group.term, claim };
+}
+
+/**
+ * Whether a claim has not taken effect: its target reports that it is a replica, or another target has
+ * led for longer than an order may be under way.
+ */
+function isRefuted(
+  world: World,
+  group: GroupRow,
+  promotion: Promotion,
+  claim: StoredClaim,
+): boolean {
+  const target = group.targets.get(claim.target);
+  if (target && hasStatus(target, promotion) && target.status?.report.role === 'replica')
+    return true;
+  const { knownClaim, lastProof } = group;
+  if (!knownClaim || !lastProof || lastProof.target === claim.target) return false;
+  return lastProof.sentAt - knownClaim.since > world.settings.promotionTimeoutMs * 2;
 }
 
 /** True when the target has replied to a status request of the promotion. */
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -193,7 +193,10 @@
 export function applyLeaderships(world: World, leaderships: readonly GroupLeadership[]): void {
   for (const { group: id, ...leadership } of leaderships) {
     const group = world.groups.get(id);
-    if (group) recordLeadership(world, group, leadership);
+    if (!group) continue;
+    if (leadership.token > (group.knownClaim?.token ?? -Infinity))
+      group.knownClaim = { token: leadership.token, since: world.clock.now() };
+    recordLeadership(world, group, leadership);
   }
 }
 
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -21,6 +21,7 @@
   if (sent.sentAt < target.notPrimaryAt && position.term === group.term) return;
   group.term = position.term;
   addSample(group.samples, { position, sentAt: sent.sentAt });
+  group.lastProof = { target: target.listed.id, sentAt: sent.sentAt };
   group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
   const expected = group.expectedPrimary;
   if (expected?.target === target.listed.id) {
--- a/packages/direct/src/promotionHistory.ts
+++ b/packages/direct/src/promotionHistory.ts
@@ -6,10 +6,30 @@
 export interface KnownHistory {
   /** Newest term that the log of a proven primary has shown; 0: none. */
   readonly term: number;
-  /** The newest claim; its promotion may have taken effect without this daemon's knowledge. */
+  /** The newest claim that may have taken effect without this daemon's knowledge. */
   readonly claim?: StoredClaim;
-  /** The claimed target reports that it is a replica, so that its promotion has not taken effect. */
-  readonly isRefuted: boolean;
+}
+
+/** The newest claim of a chain that may have taken effect. */
+export function newestEffective(
+  claim: StoredClaim | undefined,
+  isRefuted: (claim: StoredClaim) => boolean,
+): StoredClaim | undefined {
+  let newest = claim;
+  while (newest && isRefuted(newest)) newest = newest.previous;
+  return newest;
+}
+
+/** Earlier claims that a claim carries at most. */
+const MAX_CHAIN = 3;
+
+/** Shortens a chain of claims to those that a new claim carries. */
+export function limitChain(
+  claim: StoredClaim | undefined,
+  length = MAX_CHAIN,
+): StoredClaim | undefined {
+  if (!claim || length === 0) return undefined;
+  return { ...claim, previous: limitChain(claim.previous, length - 1) };
 }
 
 /**
@@ -20,7 +40,7 @@
  */
 export function mayHoldDiscarded(
   { id, received, reply }: Pick<PromotionCandidate, 'id' | 'received' | 'reply'>,
-  { term, claim, isRefuted }: KnownHistory,
+  { term, claim }: KnownHistory,
 ): boolean {
   const base = claim?.received;
   if (!received) return term > 0 || base !== undefined;
@@ -32,5 +52,5 @@
   if (received.term < term) return true;
   if (!base || received.term > base.term) return false;
   if (received.term < base.term) return true;
-  return id !== claim.target && !isRefuted;
+  return id !== claim.target;
 }
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -23,6 +23,8 @@
   readonly target: TargetId;
   /** Log with which the target was chosen; absent in claims of earlier releases. */
   readonly received?: Position;
+  /** The claim before it, if that one may have taken effect. */
+  readonly previous?: StoredClaim;
 }
 
 /** What the local view of the store shows of a group's claims. */
@@ -41,6 +43,8 @@
   readonly target: TargetId;
   /** Newest log entry that the target holds, by its reply. */
   readonly received?: Position;
+  /** The newest earlier claim that may have taken effect. */
+  readonly previous?: StoredClaim;
   /** Term of the next primary, as far as known. */
   readonly term: number;
   /** The claims as known when the promotion was started; the claim holds only if they are the newest. */
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -223,6 +223,10 @@
     /** The claim was written at an unknown time before `since`. */
     readonly isMissed?: true;
   };
+  /** Highest token of a claim that is known here, and since when. */
+  knownClaim?: { readonly token: number; readonly since: Millis };
+  /** The target that last proved to be the primary, and when that operation was sent. */
+  lastProof?: { readonly target: TargetId; readonly sentAt: Millis };
   /** Average time from the claim to the first reply of the new primary. */
   readonly promotionMs: MovingAverage;
   /** Average interval at which the targets renew their entries in the platform's list. */
