fix(direct): slow status replies and changing opinions do not keep a group without a primary

What callers would have seen: with statuses that take longer than 250 ms no reply counted, as each belonged to a survey that had ended (30 abandoned promotions in 20 s, no order); with one more opinion that changes every 300 ms each survey was abandoned (17 in 20 s). Both found by the review before any landing.

Change: a survey without a candidate waits for late replies, up to the time limit of a promotion; the reason is looked at when the survey is complete, at the moment of the order, not at each tick of it.

Evidence: 'replies that take longer than the usual wait for a status still count' failed before. The changing opinions were seen in the reviewer's trial; no test asserts them.

--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -244,4 +244,12 @@
   assert.is(rig.orders[0]?.basis.revision, 9);
 });
 
+test('replies that take longer than the usual wait for a status still count', () => {
+  const rig = createSplitRig();
+  for (const target of [rig.next, rig.other]) target.statusMs = 320;
+  rig.cut(rig.old);
+  reportSuspicion(rig, 't1', 3_000);
+  assert.is(rig.promotions.length > 0, true);
+});
+
 test.run();
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -209,11 +209,6 @@
     expectPrimary(world, group, otherPrimary.listed.id, now);
     return;
   }
-  const obsoleteCause = findObsoleteCause(world, group, primary, promotion, now);
-  if (obsoleteCause !== undefined) {
-    abandonPromotion(world, group, obsoleteCause, now);
-    return;
-  }
   const surveyed = [...group.targets.values()]
     .filter((target) => target.listed.id !== group.primary || isOutdated(group))
     .filter((target) => isUsable(world, target, now))
@@ -223,8 +218,16 @@
   const candidates = surveyed.map((target) => describeCandidate(target, promotion));
   const isComplete = candidates.every((one) => one.reply === 'status' || one.failing);
   if (!isComplete && now - promotion.startedAt < settings.statusWaitMs) return;
+  const obsoleteCause = findObsoleteCause(world, group, primary, promotion, now);
+  if (obsoleteCause !== undefined) {
+    abandonPromotion(world, group, obsoleteCause, now);
+    return;
+  }
   const history = knownHistory(world, group, promotion);
   const choice = chooseCandidate(candidates.filter((one) => !mayHoldDiscarded(one, history)));
+  // A target that replies late still counts while there is no other candidate.
+  const waitMs = isComplete ? 0 : settings.promotionTimeoutMs;
+  if (!choice && now - promotion.startedAt < waitMs) return;
   if (!choice) {
     reportNoCandidate(world, group, candidates, now);
     return;
