feat(direct): log the bounds of reads while a primary is unsettled

No line named the position that a read was sent with, the sample that gave it, its age or the daemon that took it, so that a read on a log that lacked a commit could not be traced to its cause. `samples_dropped` tells what a newer term does to the samples.

`samplesReceived` now gets the daemon that was asked. The fake targets of the tests return a new position object with each reply, as decoded replies do.

--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -132,7 +132,7 @@
     rows,
     digest,
     inTransaction: connection.inTransaction,
-    position: target.applied,
+    position: { ...target.applied },
   };
 }
 
@@ -142,7 +142,7 @@
   code: 'read_only' | 'behind' | 'busy',
 ): TargetReply {
   const { inTransaction } = connection;
-  return { kind: 'failed', code, detail: '', inTransaction, position: target.applied };
+  return { kind: 'failed', code, detail: '', inTransaction, position: { ...target.applied } };
 }
 
 function runStatement(
--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -386,7 +386,7 @@
   group.samples.push({ position: { term: 2, index: 7 }, sentAt: rig.now() - 100 });
   const position = { term: 1, index: 100 };
   const sample = { group: 'g', primary: 't2', position, ageMs: 0, leaderTerm: 3 };
-  rig.engine.samplesReceived({ samples: [sample], totals: [] }, rig.now());
+  rig.engine.samplesReceived({ samples: [sample], totals: [] }, rig.now(), 's1');
   assert.is(group.primary, 't2');
   assert.equal(
     group.samples.map((one) => one.position),
--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -66,6 +66,7 @@
   rig.engine.samplesReceived(
     { samples: [{ group: 'g', primary: 't1', position, ageMs: 200, leaderTerm: 0 }], totals: [] },
     askedAt,
+    's1',
   );
   const sample = rig.engine.world.groups.get('g')?.samples.at(-1);
   assert.is(sample?.sentAt, askedAt - 200);
@@ -90,6 +91,7 @@
   rig.engine.samplesReceived(
     { samples: [{ group: 'g', primary: 't1', position, ageMs: 10, leaderTerm: 0 }], totals: [] },
     askedAt,
+    's1',
   );
   assert.is(rig.engine.world.groups.get('g')?.samples.length, 0);
 });
@@ -104,7 +106,7 @@
       ageMs: 0,
       leaderTerm: 0,
     };
-    rig.engine.samplesReceived({ samples: [peerSample], totals: [] }, rig.now());
+    rig.engine.samplesReceived({ samples: [peerSample], totals: [] }, rig.now(), 's1');
     rig.run(10);
   };
   receiveSample(2, 90);
@@ -174,6 +176,7 @@
   rig.engine.samplesReceived(
     { samples: [{ group: 'g', primary, position, ageMs: 0, leaderTerm }], totals: [] },
     rig.now(),
+    's1',
   );
 }
 
@@ -217,7 +220,7 @@
   rig.run(500);
   const position = { term: 1, index: 100 };
   const old = { group: 'g', primary: 't2', position, ageMs: 900, leaderTerm: 0 };
-  rig.engine.samplesReceived({ samples: [old], totals: [] }, rig.now());
+  rig.engine.samplesReceived({ samples: [old], totals: [] }, rig.now(), 's1');
   assert.is(rig.engine.world.groups.get('g')?.primary, 't1');
 });
 
@@ -299,7 +302,7 @@
 /** What the sampler's reply says of all daemons' loads at t1. */
 function tellTotal(rig: Rig, connections: number, inFlight: number): void {
   const totals = [{ group: 'g', loads: [['t1', connections, inFlight] as const] }];
-  rig.engine.samplesReceived({ samples: [], totals }, rig.now());
+  rig.engine.samplesReceived({ samples: [], totals }, rig.now(), 's1');
 }
 
 test('the loads of hundreds of daemons add up at the sampler, and reach each of them', () => {
@@ -377,7 +380,7 @@
   tellPrimary(rig, 't1');
   const totals = [{ group: 'g', loads: [['t2', 4, 4] as const] }];
   for (let at = 0; at < 12; at += 1) {
-    rig.engine.samplesReceived({ samples: [], totals }, rig.now());
+    rig.engine.samplesReceived({ samples: [], totals }, rig.now(), 's1');
     tellPrimary(rig, 't1');
     rig.submit('s', { kind: 'read', text: 'READ 1' });
     openSession(rig, `r${at}`, 'loops');
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -119,7 +119,7 @@
   /** Records the loads of another daemon and collects the reply to its request. */
   replyToRequest: (from: InstanceId, groups: readonly GroupLoads[]) => SampleReply;
   /** Applies a sampler's reply to a request of `askedAt`. */
-  samplesReceived: (reply: SampleReply, askedAt: Millis) => void;
+  samplesReceived: (reply: SampleReply, askedAt: Millis, sampler: InstanceId) => void;
   /** True when this daemon may use no primary, since it hears neither a quorum nor the store. */
   isIsolated: () => boolean;
   /** True when every configured group that a route uses has a target. */
@@ -293,8 +293,8 @@
       return clock.now() - world.drainingSince >= effectiveDrainAcceptMs(world);
     },
     replyToRequest: (from, groups) => replyToRequest(world, from, groups),
-    samplesReceived: ({ samples, totals }, askedAt) => {
-      applyPeerSamples(world, samples, askedAt);
+    samplesReceived: ({ samples, totals }, askedAt, sampler) => {
+      applyPeerSamples(world, samples, askedAt, sampler);
       recordTotals(world, totals);
       dispatchPending();
     },
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -1,6 +1,7 @@
 import type { Position } from '@rosedeck/shared';
 import { loseConnection, sendOps } from './connections';
 import { recordPrimaryProof } from './primaryTracking';
+import { logReadBound } from './readBounds';
 import {
   releaseAfterReply,
   recordOccupancy,
@@ -28,6 +29,7 @@
   after: Position | undefined,
 ): void {
   startTry(world, hooks, row, connection);
+  logReadBound(world, row, connection.target, after);
   row.tried.add(connection.target.listed.id);
   if (row.transaction || (row.needsPrimary && row.access === 'read')) {
     beginThenRun(world, hooks, row, connection, after);
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -1,8 +1,12 @@
 import type { GroupId, InstanceId, Millis, RequestId, SessionId, TargetId } from '@rosedeck/shared';
+import type { ReadPolicy } from './configuration';
 import type { RefusalReason } from './quotas/tenantRows';
 import type { LossReason } from './statements';
 import type { TenantName } from './tenants';
 
+/** What gave the position that a read was sent with: a sample, or a commit of its session. */
+export type BoundBasis = 'sample' | 'session' | 'none';
+
 /** An event of the engine for logs and metrics; the field names are those of the log lines. */
 export type DirectLogEvent =
   | {
@@ -69,6 +73,35 @@
       /** Time that the group has lacked a usable primary. */
       readonly troubledMs: Millis;
     }
+  | {
+      /** A read was sent while its group's primary was unsettled. */
+      readonly type: 'read_bound';
+      readonly request: RequestId;
+      readonly group: GroupId;
+      readonly target: TargetId;
+      readonly policy: ReadPolicy;
+      /** Position that the target must have applied, as `term:index`, or `none`. */
+      readonly position: string;
+      readonly basis: BoundBasis;
+      /** Age of the sample when the read or its transaction arrived; negative: taken later. */
+      readonly sampleAgeMs?: Millis;
+      /** The daemon that took the sample, or that told it to this one. */
+      readonly takenBy?: InstanceId;
+      /** The read runs in a transaction that only a target that leads opens. */
+      readonly proven: boolean;
+    }
+  | {
+      /** Samples of a log that may have been cut back. */
+      readonly type: 'samples_dropped';
+      readonly group: GroupId;
+      readonly dropped: number;
+      /** Position of the newest of them. */
+      readonly newest: string;
+      /** The sample that replaces them. */
+      readonly by?: string;
+      /** Newer term in which the primary leads, where the platform does not fence promotions. */
+      readonly leaderTerm?: number;
+    }
   | {
       readonly type: 'primary_suspected' | 'primary_cleared';
       readonly group: GroupId;
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -2,7 +2,7 @@
 import type { ListedTarget } from './configuration';
 import { isTrusted, recordLeadership } from './fencing';
 import type { PeerSample } from './peerReport';
-import { addSample } from './sampleHistory';
+import { dropSamples, recordSample } from './readBounds';
 import type { TargetReply } from './statements';
 import type { GroupRow, SentOp, TargetRow, World } from './tables';
 import { updateAverage } from './tables';
@@ -20,7 +20,7 @@
   if (position.term < group.term) return;
   if (sent.sentAt < target.notPrimaryAt && position.term === group.term) return;
   group.term = position.term;
-  addSample(group.samples, { position, sentAt: sent.sentAt });
+  recordSample(world, group, { position, sentAt: sent.sentAt });
   group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
   if (group.expectedPrimary?.target === target.listed.id) {
     updateAverage(group.promotionMs, sent.sentAt - group.expectedPrimary.since);
@@ -49,7 +49,7 @@
   const { group, listed } = target;
   if (term <= group.leaderTerm) return;
   group.leaderTerm = term;
-  group.samples.length = 0;
+  dropSamples(world, group, term);
   group.term = position.term;
   recordLeadership(world, group, { term, token: 0, target: listed.id });
 }
@@ -139,6 +139,7 @@
   group.primaryLearnedAt = undefined;
   world.groupsToDispatch.add(group);
   if (from === to) return;
+  group.primaryChangedAt = now;
   world.io.log({
     type: 'primary_changed',
     group: group.id,
--- a/packages/direct/src/sampleHistory.ts
+++ b/packages/direct/src/sampleHistory.ts
@@ -1,11 +1,13 @@
 import { covers, positionOrd } from '@rosedeck/shared';
-import type { Millis, Position } from '@rosedeck/shared';
+import type { InstanceId, Millis, Position } from '@rosedeck/shared';
 
 /** A position of the primary's log that covers every commit acknowledged before `sentAt`. */
 export interface PositionSample {
   readonly position: Position;
   /** When the request that returned the position was sent. */
   readonly sentAt: Millis;
+  /** The daemon that told the sample; absent: this one has taken it. */
+  readonly takenBy?: InstanceId;
 }
 
 /** Samples of one group, oldest first, all of its newest term. */
@@ -17,17 +19,24 @@
 /** Older samples meet no staleness limit that a route is likely to have. */
 const MAX_SAMPLE_AGE_MS = 10_000;
 
-/** Adds a sample. Samples of older terms are dropped, since their log may have been truncated. */
-export function addSample(history: SampleHistory, sample: PositionSample): void {
+/**
+ * Adds a sample. Samples of older terms are dropped, since their log may have been truncated; returns
+ * how many were.
+ */
+export function addSample(history: SampleHistory, sample: PositionSample): number {
   const newest = history.at(-1);
+  let dropped = 0;
   if (newest) {
-    if (sample.position.term < newest.position.term) return;
-    if (sample.position.term > newest.position.term) history.length = 0;
-    else if (sample.sentAt <= newest.sentAt) return;
+    if (sample.position.term < newest.position.term) return 0;
+    if (sample.position.term > newest.position.term) {
+      dropped = history.length;
+      history.length = 0;
+    } else if (sample.sentAt <= newest.sentAt) return 0;
     else if (sample.sentAt - (history.at(-2)?.sentAt ?? -Infinity) < MIN_SPACING_MS) history.pop();
   }
   history.push(sample);
   while (history[0] && sample.sentAt - history[0].sentAt > MAX_SAMPLE_AGE_MS) history.shift();
+  return dropped;
 }
 
 /**
--- a/packages/direct/src/sampling.ts
+++ b/packages/direct/src/sampling.ts
@@ -2,7 +2,7 @@
 import { ownLoads, recordDaemonLoads, totalLoads } from './groupLoads';
 import type { GroupLoads, PeerSample, SampleReply } from './peerReport';
 import { adoptPrimary } from './primaryTracking';
-import { addSample } from './sampleHistory';
+import { recordSample } from './readBounds';
 import { findSampler, isScarce } from './samplers';
 import type { GroupRow, World } from './tables';
 
@@ -76,13 +76,14 @@
 }
 
 /**
- * Applies samples that were requested at `askedAt`. The sampler replied no earlier than that, so a
+ * Applies samples that were requested of `sampler` at `askedAt`. The sampler replied no earlier than that, so a
  * sample is never dated later than it was taken.
  */
 export function applyPeerSamples(
   world: World,
   samples: readonly PeerSample[],
   askedAt: Millis,
+  sampler: InstanceId,
 ): void {
   if (askedAt <= world.timeJumpedAt) return;
   for (const sample of samples) {
@@ -93,7 +94,11 @@
     if (target) adoptPrimary(world, target, sample, sampledAt);
     if (sample.position.term < group.term) continue;
     group.term = sample.position.term;
-    addSample(group.samples, { position: sample.position, sentAt: sampledAt });
+    recordSample(world, group, {
+      position: sample.position,
+      sentAt: sampledAt,
+      takenBy: sampler,
+    });
     world.groupsToDispatch.add(group);
   }
 }
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -171,6 +171,10 @@
   primaryProvenAt?: Millis;
   /** When another daemon proved the primary, by its newest sample. */
   primaryLearnedAt?: Millis;
+  /** When the assumed primary last changed. */
+  primaryChangedAt: Millis;
+  /** When the bound of a read was last logged. */
+  boundLoggedAt: Millis;
   /** Highest term of a proven primary's log. */
   term: number;
   /** Term in which the primary was last proven to lead, where the platform does not fence promotions. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -41,6 +41,8 @@
     id,
     connectionLimit,
     targets: new Map(),
+    primaryChangedAt: -Infinity,
+    boundLoggedAt: -Infinity,
     term: 0,
     leaderTerm: 0,
     samples: [],
