fix(direct): do not demand discarded commits of reads

After a promotion that discarded acknowledged commits, callers saw reads fail with RETRYLATER, each after four targets had replied LAGGING: on all routes while the newest sample of the old log was young enough, and in a session that had written one of the commits until somebody committed again, for ever in a group that is only read.

The log of a new primary ends in the older term until its first commit, at a lower index than the samples of the old log. These stayed beside the new ones, and the oldest fresh one was demanded. A session's own position never went back.

A sample now drops the earlier ones of its term that are beyond it: it covers every commit that stands and was acknowledged before it, so that it serves wherever they did. For the same reason a sample that was taken after a session's last commit replaces its position if it ends earlier.

--- a/packages/direct/src/eligibility.ts
+++ b/packages/direct/src/eligibility.ts
@@ -2,7 +2,7 @@
 import type { Millis, Position } from '@rosedeck/shared';
 import { mayUsePrimary } from './fencing';
 import { findSample, laterOf } from './sampleHistory';
-import type { GroupRow, RequestRow, TargetRow, World } from './tables';
+import type { GroupRow, RequestRow, SessionRow, TargetRow, World } from './tables';
 
 /** Age up to which a target's last measured lag counts; after it the target is tried again. */
 const LAG_MAX_AGE_MS: Millis = 150;
@@ -23,12 +23,23 @@
   if (route.policy === 'primary' || row.access === 'write') return undefined;
   if (transaction && !transaction.readOnly) return undefined;
   const { maxStalenessMs } = route;
-  if (maxStalenessMs === undefined) return row.session.position;
+  const own = ownPosition(group, row.session);
+  if (maxStalenessMs === undefined) return own;
   const startedAt = transaction?.beganAt ?? row.arrivedAt;
   const notBefore = startedAt - maxStalenessMs + world.settings.stalenessMarginMs;
   const sample = findSample(group.samples, notBefore);
   row.needsPrimary = sample === undefined;
-  return laterOf(sample?.position, row.session.position);
+  return laterOf(sample?.position, own);
+}
+
+/**
+ * The position that covers a session's commits. A sample that was taken since they were acknowledged
+ * covers those that still stand; one that ends before them shows that a promotion has discarded some.
+ */
+function ownPosition(group: GroupRow, session: SessionRow): Position | undefined {
+  const { position, positionAt } = session;
+  const sample = position && findSample(group.samples, positionAt);
+  return sample && !covers(sample.position, position) ? sample.position : position;
 }
 
 /** True for a request that may lead to a commit. */
--- a/packages/direct/src/readBounds.ts
+++ b/packages/direct/src/readBounds.ts
@@ -60,7 +60,10 @@
 export function recordSample(world: World, group: GroupRow, sample: PositionSample): void {
   const newest = group.samples.at(-1);
   const dropped = addSample(group.samples, sample);
-  if (newest && dropped > 0)
+  if (!newest || dropped === 0) return;
+  // Replies that overtake each other drop samples of a living primary.
+  const isNewTerm = newest.position.term !== sample.position.term;
+  if (isNewTerm || isUnsettled(group, world.clock.now()))
     logDropped(world, group, newest.position, dropped, { by: sample.position });
 }
 
--- a/packages/direct/src/sampleHistory.ts
+++ b/packages/direct/src/sampleHistory.ts
@@ -10,7 +10,7 @@
   readonly takenBy?: InstanceId;
 }
 
-/** Samples of one group, oldest first, all of its newest term. */
+/** Samples of one group, oldest first, all of its newest term; no position is beyond a later one. */
 export type SampleHistory = PositionSample[];
 
 /** Samples closer together than this do not improve the choice of a sample for a read. */
@@ -20,8 +20,9 @@
 const MAX_SAMPLE_AGE_MS = 10_000;
 
 /**
- * Adds a sample. Samples of older terms are dropped, since their log may have been truncated; returns
- * how many were.
+ * Adds a sample. Samples of older terms are dropped, since their log may have been truncated, and so
+ * are those of its term beyond it: until its first commit, the log of a new primary ends in an older
+ * term, maybe before entries that the promotion has discarded. Returns how many were dropped.
  */
 export function addSample(history: SampleHistory, sample: PositionSample): number {
   const newest = history.at(-1);
@@ -32,13 +33,21 @@
       dropped = history.length;
       history.length = 0;
     } else if (sample.sentAt <= newest.sentAt) return 0;
-    else if (sample.sentAt - (history.at(-2)?.sentAt ?? -Infinity) < MIN_SPACING_MS) history.pop();
+    else dropped = dropBeyond(history, sample.position);
+    if (sample.sentAt - (history.at(-2)?.sentAt ?? -Infinity) < MIN_SPACING_MS) history.pop();
   }
   history.push(sample);
   while (history[0] && sample.sentAt - history[0].sentAt > MAX_SAMPLE_AGE_MS) history.shift();
   return dropped;
 }
 
+function dropBeyond(history: SampleHistory, position: Position): number {
+  const { length } = history;
+  while (history.length > 0 && !covers(position, history.at(-1)?.position ?? position))
+    history.pop();
+  return length - history.length;
+}
+
 /**
  * Finds the oldest sample that was taken at `notBefore` or later, since replicas are most likely
  * to have applied it.
