fix(direct): prove a primary whose log ends in an older term than the last one

After two promotions in a row of which the second discarded every commit of the first one's term, callers saw all reads go to the primary, and a session without a limit of staleness that had written a discarded commit got RETRYLATER for each read, until somebody committed again.

A proof counted only if its log ended in the newest known term or a later one, which keeps late replies of an earlier primary out. The log of the new primary ends in an older term until its first commit, so that it was not proven and gave no samples.

Where the platform ends the lead of the old primary, leads follow each other: what was sent after the newest sample had arrived was handled under the same lead or a later one. Such a proof now replaces the samples of the newer term; a late reply still does not. Samples of other daemons of an older term are ignored as before.

--- a/packages/direct/__tests__/readRule.spec.ts
+++ b/packages/direct/__tests__/readRule.spec.ts
@@ -130,4 +130,26 @@
   if (process.env.READ_RULE_RUNS !== undefined) console.log(text);
 });
 
+test('every session reads again once the group is whole, also without a further commit', () => {
+  fc.assert(
+    fc.property(steps, fc.nat(), fc.boolean(), fc.boolean(), (chosen, random, isScarce, isSync) => {
+      const model = createReadModel({ seed: random, isScarce, isSync });
+      play(model, chosen);
+      model.heal();
+      model.calm();
+      model.run(5_000);
+      for (const session of model.callers.idle()) {
+        // The first one may only show that a target replies again.
+        for (let tries = 0; tries < 4; tries += 1) {
+          model.callers.start(session, 'read');
+          model.run(1_500);
+          if (model.callers.lastOf(session)?.isDone) break;
+        }
+        assert.ok(model.callers.lastOf(session)?.isDone, `${session} at ${model.now()}`);
+      }
+    }),
+    { seed, numRuns },
+  );
+});
+
 test.run();
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -2,7 +2,7 @@
 import type { ListedTarget } from './configuration';
 import { isTrusted, recordLeadership } from './fencing';
 import type { PeerSample } from './peerReport';
-import { dropSamples, recordSample } from './readBounds';
+import { dropSamples, mayBeNewest, recordSample } from './readBounds';
 import type { TargetReply } from './statements';
 import type { GroupRow, SentOp, TargetRow, World } from './tables';
 import { updateAverage } from './tables';
@@ -17,9 +17,8 @@
   if (!position || sent.epoch !== world.epoch) return;
   const { group } = target;
   if (!recordLead(world, target, position)) return;
-  if (position.term < group.term) return;
-  if (sent.sentAt < target.notPrimaryAt && position.term === group.term) return;
-  group.term = position.term;
+  if (!mayBeNewest(world, group, position.term, sent.sentAt)) return;
+  if (sent.sentAt < target.notPrimaryAt && position.term <= group.term) return;
   recordSample(world, group, { position, sentAt: sent.sentAt });
   group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
   if (group.expectedPrimary?.target === target.listed.id) {
--- a/packages/direct/src/readBounds.ts
+++ b/packages/direct/src/readBounds.ts
@@ -56,10 +56,28 @@
   return position === row.session.position ? 'session' : 'sample';
 }
 
-/** Adds a sample of a group's newest term, and logs which ones it replaces. */
+/**
+ * Whether a log that ended in `term` when it replied to what this daemon sent at `sentAt` may be that
+ * of the newest primary. Two promotions in a row can discard all commits of the term between them.
+ * Where the platform ends the lead of the old primary, what was sent after the newest sample had
+ * arrived shows the same lead or a later one.
+ */
+export function mayBeNewest(world: World, group: GroupRow, term: number, sentAt: Millis): boolean {
+  if (term >= group.term) return true;
+  return world.settings.promotionsFenced && sentAt > group.termSeenAt;
+}
+
+/** Adds a sample of a log that may be that of the newest primary, and logs which ones it replaces. */
 export function recordSample(world: World, group: GroupRow, sample: PositionSample): void {
   const newest = group.samples.at(-1);
-  const dropped = addSample(group.samples, sample);
+  let dropped = 0;
+  if (newest && sample.position.term < newest.position.term) {
+    dropped = group.samples.length;
+    group.samples.length = 0;
+  }
+  dropped += addSample(group.samples, sample);
+  group.term = sample.position.term;
+  group.termSeenAt = world.clock.now();
   if (!newest || dropped === 0) return;
   // Replies that overtake each other drop samples of a living primary.
   const isNewTerm = newest.position.term !== sample.position.term;
--- a/packages/direct/src/sampling.ts
+++ b/packages/direct/src/sampling.ts
@@ -93,7 +93,6 @@
     const target = sample.primary === undefined ? undefined : group.targets.get(sample.primary);
     if (target) adoptPrimary(world, target, sample, sampledAt);
     if (sample.position.term < group.term) continue;
-    group.term = sample.position.term;
     recordSample(world, group, {
       position: sample.position,
       sentAt: sampledAt,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -175,8 +175,10 @@
   primaryChangedAt: Millis;
   /** When the bound of a read was last logged. */
   boundLoggedAt: Millis;
-  /** Highest term of a proven primary's log. */
+  /** Term in which the log of the newest proven primary ends. */
   term: number;
+  /** When the newest sample of the primary's log arrived. */
+  termSeenAt: Millis;
   /** Term in which the primary was last proven to lead, where the platform does not fence promotions. */
   leaderTerm: number;
   /** Newest known leadership, where the platform does not fence promotions. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -44,6 +44,7 @@
     primaryChangedAt: -Infinity,
     boundLoggedAt: -Infinity,
     term: 0,
+    termSeenAt: -Infinity,
     leaderTerm: 0,
     samples: [],
     loads: createGroupLoads(),
