--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -2,7 +2,7 @@
 import type { ListedTarget } from './configuration';
 import { isTrusted, recordLeadership } from './fencing';
 import type { PeerSample } from './peerReport';
-import { addSample } from './sampleHistory';
+import { dropSamples, mayBeNewest, recordSample } from './readBounds';
 import type { TargetReply } from './statements';
 import type { GroupRow, SentOp, TargetRow, World } from './tables';
 import { updateAverage } from './tables';
@@ -17,10 +17,9 @@
   if (!position || sent.epoch !== world.epoch) return;
   const { group } = target;
   if (!recordLead(world, target, position)) return;
-  if (position.term < group.term) return;
-  if (sent.sentAt < target.notPrimaryAt && position.term === group.term) return;
-  group.term = position.term;
-  addSample(group.samples, { position, sentAt: sent.sentAt });
+  if (!mayBeNewest(world, group, position.term, sent.sentAt)) return;
+  if (sent.sentAt < target.notPrimaryAt && position.term <= group.term) return;
+  recordSample(world, group, { position, sentAt: sent.sentAt });
   group.lastProof = { target: target.listed.id, sentAt: sent.sentAt };
   group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
   const expected = group.expectedPrimary;
@@ -51,7 +50,7 @@
   const { group, listed } = target;
   if (term <= group.leaderTerm) return;
   group.leaderTerm = term;
-  group.samples.length = 0;
+  dropSamples(world, group, term);
   group.term = position.term;
   recordLeadership(world, group, { term, token: 0, target: listed.id });
 }
@@ -141,6 +140,7 @@
   group.primaryLearnedAt = undefined;
   world.groupsToDispatch.add(group);
   if (from === to) return;
+  group.primaryChangedAt = now;
   world.io.log({
     type: 'primary_changed',
     group: group.id,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -178,8 +178,14 @@
   primaryProvenAt?: Millis;
   /** When another daemon proved the primary, by its newest sample. */
   primaryLearnedAt?: Millis;
-  /** Highest term of a proven primary's log. */
+  /** When the assumed primary last changed. */
+  primaryChangedAt: Millis;
+  /** When the bound of a read was last logged. */
+  boundLoggedAt: Millis;
+  /** Term in which the log of the newest proven primary ends. */
   term: number;
+  /** When the newest sample of the primary's log arrived. */
+  termSeenAt: Millis;
   /** Term in which the primary was last proven to lead, where the platform does not fence promotions. */
   leaderTerm: number;
   /** Newest known leadership, where the platform does not fence promotions. */
