--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -7,11 +7,17 @@
 import { isCurrent } from './leadership';
 import { probeTargets, requestStatus } from './primaryProbes';
 import { presumePrimary, reviewPrimary } from './primaryTracking';
-import { limitChain, mayHoldDiscarded, newestEffective } from './promotionHistory';
-import type { KnownHistory } from './promotionHistory';
+import { limitChain, mayHoldDiscarded } from './promotionHistory';
 import { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 import type { PromotionCandidate } from './promotionPolicy';
-import type { Promotion, PromotionReason, PromotionResult, StoredClaim } from './promotionTypes';
+import {
+  describeCandidate,
+  findOtherPrimary,
+  hasStatus,
+  knownHistory,
+  logSurveyed,
+} from './promotionSurvey';
+import type { Promotion, PromotionReason, PromotionResult } from './promotionTypes';
 import { isSampler, isScarce, otherSamplers } from './samplers';
 import { trackLaggingReplicas } from './laggingReplicas';
 import type { GroupRow, TargetRow, World } from './tables';
@@ -278,82 +284,6 @@
   return Math.max(group.leaderTerm, ...reported) + 1;
 }
 
-/** A target that reports to be the primary of a later term: this daemon has missed a promotion. */
-function findOtherPrimary(group: GroupRow, promotion: Promotion): TargetRow | undefined {
-  return [...group.targets.values()].find(({ listed, status }) => {
-    if (!status || listed.id === group.primary || status.at < promotion.startedAt) return false;
-    return status.report.role === 'primary' && status.report.term > group.term;
-  });
-}
-
-function knownHistory(world: World, group: GroupRow, promotion: Promotion): KnownHistory {
-  // Without a fence a claim needs a quorum, which has used the newest primary and knows its term.
-  if (!world.settings.promotionsFenced) return { term: group.term };
-  const claim = newestEffective(promotion.basis.claim, (one) =>
-    isRefuted(world, group, promotion, one),
-  );
-  return { term: group.term, claim };
-}
-
-/**
- * Whether a claim has not taken effect: its target reports that it is a replica, or another target has
- * led for longer than an order may be under way.
- */
-function isRefuted(
-  world: World,
-  group: GroupRow,
-  promotion: Promotion,
-  claim: StoredClaim,
-): boolean {
-  const target = group.targets.get(claim.target);
-  if (target && hasStatus(target, promotion) && target.status?.report.role === 'replica')
-    return true;
-  const { knownClaim, lastProof } = group;
-  if (!knownClaim || !lastProof || lastProof.target === claim.target) return false;
-  return lastProof.sentAt - knownClaim.since > world.settings.promotionTimeoutMs * 2;
-}
-
-/** True when the target has replied to a status request of the promotion. */
-function hasStatus({ status }: TargetRow, promotion: Promotion): boolean {
-  return status !== undefined && status.at >= promotion.startedAt;
-}
-
-/** Replies from before the promotion do not count: the log may have been cut back since. */
-function describeCandidate(target: TargetRow, promotion: Promotion): PromotionCandidate {
-  const { listed, status, lastPosition, leavingSince, failingSince } = target;
-  const common = {
-    id: listed.id,
-    leaving: leavingSince !== undefined,
-    failing: failingSince !== undefined,
-  };
-  if (status && hasStatus(target, promotion))
-    return { ...common, received: status.report.received, reply: 'status' };
-  if (lastPosition && lastPosition.sentAt >= promotion.startedAt)
-    return { ...common, received: lastPosition.position, reply: 'position' };
-  return common;
-}
-
-function logSurveyed(
-  world: World,
-  group: GroupRow,
-  candidate: PromotionCandidate,
-  now: Millis,
-): void {
-  const { id, reply, failing, received } = candidate;
-  const status = group.targets.get(id)?.status;
-  world.io.log({
-    type: 'promotion_surveyed',
-    group: group.id,
-    target: id,
-    reply: reply ?? 'none',
-    failing,
-    role: status?.report.role,
-    term: status?.report.term,
-    received: received ? formatPosition(received) : 'unknown',
-    statusAgeMs: status && Math.round(now - status.at),
-  });
-}
-
 /** While time allows, a working primary is not replaced by a replica that receives no data. */
 function isTooFarBehind(
   world: World,
