perf(direct): the claims are read only while a group lacks its primary

The reason for a promotion is looked at in each tick, and the basis of each look decoded the stored claim of each group. Its age counts only while the primary is down.

--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -139,13 +139,15 @@
   opinions: Opinions,
   now: Millis,
 ): PromotionReason | undefined {
+  const { primaryDownSince } = group;
+  const isDown = primaryDownSince !== undefined;
   return findPromotionReason({
     known: primary !== undefined && !isOutdated(group),
     leaving: primary?.leavingSince !== undefined,
     unlisted: primary?.unlistedSince !== undefined,
     suspected: group.suspectedPrimary !== undefined,
-    primaryDownMs: group.primaryDownSince === undefined ? 0 : now - group.primaryDownSince,
-    storeAgeMs: world.io.readClaimBasis(group.id).ageMs,
+    primaryDownMs: isDown ? now - primaryDownSince : 0,
+    storeAgeMs: isDown ? world.io.readClaimBasis(group.id).ageMs : 0,
     // Without a fence a promotion leaves the group without a primary for a time, and may cost commits.
     replicasLaggingMs: world.settings.promotionsFenced
       ? trackLaggingReplicas(world, group, now)
