fix(direct): opinions that change during a survey do not start the promotion anew

What callers would have seen: with one opinion that changes every 300 ms around the majority, each promotion of a lost primary was abandoned at the end of its survey and paused for 400 ms, so that none was ordered.

Cause: the reason is looked at when the survey ends; gone there, it ended the promotion for good.

Change: while the primary has not proven itself since the start, the promotion waits for the reason to come back, up to its time limit; the claims it was based on are still compared before the order.

Evidence: 'opinions that change every 300 ms do not keep a lost primary in place' failed before.

--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -252,4 +252,30 @@
   assert.is(rig.promotions.length > 0, true);
 });
 
+test('opinions that change every 300 ms do not keep a lost primary in place', () => {
+  const rig = createSplitRig();
+  rig.cut(rig.old);
+  const opinion = (name: string, reachable: boolean): void => {
+    const opinions = [{ group: 'g', target: 't1', reachable }];
+    rig.engine.applyPeer(createReport(name, { opinions }));
+  };
+  for (let at = 0; at < 6_000; at += 100) {
+    opinion('d2', true);
+    opinion('d3', Math.floor(at / 300) % 2 === 0);
+    rig.run(100);
+  }
+  assert.ok(rig.promotions.length > 0);
+});
+
+test('a log of which a claim of an earlier release tells nothing is not promoted', () => {
+  const rig = createSplitRig();
+  rig.cut(rig.next);
+  rig.old.role = 'replica';
+  rig.old.applied = rig.old.received = { term: 1, index: 110 };
+  rig.claimBasis = { era: 0, ageMs: 0, revision: 7, claim: { target: 't2' } };
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(10_000);
+  assert.ok(rig.promotions.every(({ target }) => target !== 't1'));
+});
+
 test.run();
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -228,6 +228,10 @@
   if (!isComplete && now - promotion.startedAt < settings.statusWaitMs) return;
   const obsoleteCause = findObsoleteCause(world, group, primary, promotion, now);
   if (obsoleteCause !== undefined) {
+    // The others' opinions may change back, while a proof of the primary stands.
+    const isProven = (group.lastProof?.sentAt ?? -Infinity) >= promotion.startedAt;
+    const mayReturn = obsoleteCause === 'no reason' && !isProven;
+    if (mayReturn && now - promotion.startedAt < settings.promotionTimeoutMs) return;
     abandonPromotion(world, group, obsoleteCause, now);
     return;
   }
