--- a/packages/peer/__tests__/calls.spec.ts
+++ b/packages/peer/__tests__/calls.spec.ts
@@ -160,6 +160,15 @@
   assert.match(await call, 'lost');
 });
 
+test('a request is not lost because the process itself was blocked for the silence limit', async () => {
+  const server = await startServer(() => {
+    const end = performance.now() + TIMES.silenceMs * 2;
+    while (performance.now() < end);
+    return Promise.resolve(OK);
+  });
+  assert.is(await describeOutcome(createClient(server.port).run(createRequest('r1'))), 'ok');
+});
+
 test('a long-running request does not count as silence', async () => {
   const server = await startServer(
     () => new Promise((resolve) => setTimeout(resolve, TIMES.silenceMs * 4, OK)),
--- a/packages/peer/src/client.ts
+++ b/packages/peer/src/client.ts
@@ -82,6 +82,8 @@
   let isFlushQueued = false;
   let current: PeerConnection | undefined;
   let lastActivityAt = 0;
+  /** When the next check of the connection is due. */
+  let checkDueAt = 0;
   let timer: NodeJS.Timeout | undefined;
   let isPingScheduled = false;
 
@@ -99,10 +101,15 @@
     lastActivityAt = performance.now();
   };
 
-  /** Pings while calls are pending; otherwise closes the connection once it is idle. */
+  /**
+   * Pings while calls are pending; otherwise closes the connection once it is idle. A blocked process
+   * runs its timers before it reads what has arrived, so that the delay does not count as silence.
+   */
   const checkConnection = (connection: PeerConnection): void => {
     if (current !== connection) return;
-    const silentMs = performance.now() - lastActivityAt;
+    const now = performance.now();
+    lastActivityAt = Math.min(now, lastActivityAt + Math.max(0, now - checkDueAt));
+    const silentMs = now - lastActivityAt;
     if (calls.size === 0) {
       if (silentMs >= times.idleMs && options.mayClose()) {
         current = undefined;
@@ -124,7 +131,9 @@
   const scheduleCheck = (connection: PeerConnection, isBusy: boolean): void => {
     clearTimeout(timer);
     isPingScheduled = isBusy;
-    timer = setTimeout(checkConnection, isBusy ? times.pingMs : times.idleMs, connection);
+    const delayMs = isBusy ? times.pingMs : times.idleMs;
+    checkDueAt = performance.now() + delayMs;
+    timer = setTimeout(checkConnection, delayMs, connection);
   };
 
   /** Peers are addressed by IP address, so their certificates are checked for the peer's id. */
