--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -391,4 +391,42 @@
   assert.ok((free?.executed.length ?? 0) > 2 * (busy?.executed.length ?? 0));
 });
 
+/** Reads through a daemon that samples nothing, while another one sends the samples. */
+function readWithSample(rig: Rig): string {
+  const position = { term: 1, index: 100 };
+  rig.engine.samplesReceived(
+    { samples: [{ group: 'g', primary: 't1', position, ageMs: 0, leaderTerm: 0 }], totals: [] },
+    rig.now(),
+    's1',
+  );
+  const id = rig.submit('s', { kind: 'read', text: 'READ 1' });
+  rig.run(700);
+  return rig.answerOf(id)?.answer.kind ?? 'none';
+}
+
+test('reads of a scarce group go on after a cut of all its targets from one daemon', () => {
+  const rig = createScarceRig();
+  openSession(rig, 's', 'loops');
+  for (const target of rig.targets) target.refusing = true;
+  for (let at = 0; at < 6; at += 1) assert.is(readWithSample(rig), 'failed');
+  for (const target of rig.targets) target.refusing = false;
+  rig.run(3_000);
+  // The first read is refused, and shows that somebody still uses the group.
+  readWithSample(rig);
+  assert.is(readWithSample(rig), 'done');
+});
+
+test('a daemon without connections tries targets that are out of reach no more than twice a second', () => {
+  const rig = createScarceRig();
+  openSession(rig, 's', 'loops');
+  for (const target of rig.targets) target.refusing = true;
+  readWithSample(rig);
+  const failuresOf = (): number[] =>
+    [...rig.engine.world.targets.values()].map(({ failures }) => failures);
+  const before = failuresOf();
+  for (let at = 0; at < 10; at += 1) readWithSample(rig);
+  for (const [at, failures] of failuresOf().entries())
+    assert.ok(failures - (before[at] ?? 0) <= 14, `${failures}`);
+});
+
 test.run();
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -219,6 +219,12 @@
   return true;
 }
 
+/**
+ * Pause before a daemon that keeps no connection to a failing target tries it again. Up to as much is
+ * added at random, since hundreds of daemons may lose a target at the same moment.
+ */
+const RECHECK_MS: Millis = 500;
+
 function recordLoss(world: World, row: ConnectionRow, reason: LossReason, now: Millis): void {
   const { target } = row;
   if (reason === 'limit') {
@@ -239,6 +245,7 @@
     row.state === 'opening' || reason === 'silent' || reason === 'wrong_target';
   if (countsAsFailure) {
     target.openBlockedUntil = now + world.settings.reopenDelayMs;
+    target.recheckAt = now + RECHECK_MS * (1 + world.random());
     target.failures += 1;
     target.lastFailure = reason;
     if (target.failingSince === undefined) {
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -122,6 +122,8 @@
   failingSince?: Millis;
   /** Failures since the last contact. */
   failures: number;
+  /** Earliest time at which a failing target that nothing else connects to is tried again. */
+  recheckAt: Millis;
   lastFailure?: LossReason;
   lastReplyAt: Millis;
   /** Highest position that the target has reported as applied. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -125,6 +125,7 @@
     idle: [],
     openBlockedUntil: now,
     failures: 0,
+    recheckAt: now,
     lastReplyAt: now,
     notPrimaryAt: -Infinity,
     rating: { latencyRatio: 1, at: now },
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -110,6 +110,15 @@
 /** Time over which `smoothedInFlight` averages. */
 const LOAD_AVERAGE_MS: Millis = 110;
 
+/**
+ * Whether a failing target is connected to although this daemon keeps no connection there. Requests
+ * avoid failing targets, so that nothing else would show that one can be reached again.
+ */
+function mustRecheck({ failingSince, recheckAt, group }: TargetRow, now: Millis): boolean {
+  if (failingSince === undefined || now < recheckAt) return false;
+  return now - group.lastRequestAt < IDLE_GROUP_MS;
+}
+
 /** Keeps a connection open to each target, and removes targets that have been unlisted too long. */
 function reviewTarget(world: World, target: TargetRow, now: Millis): void {
   const { settings } = world;
@@ -124,7 +133,7 @@
     return;
   }
   if (target.connections.size > 0 || !isUsable(world, target, now)) return;
-  if (!keepsOwnConnection(world, target)) return;
+  if (!keepsOwnConnection(world, target) && !mustRecheck(target, now)) return;
   if (now >= target.openBlockedUntil && mayOpen(world, target, now))
     openConnection(world, target, now);
 }
