--- a/packages/direct/__tests__/discardedLogs.spec.ts
+++ b/packages/direct/__tests__/discardedLogs.spec.ts
@@ -278,4 +278,29 @@
   assert.ok(rig.promotions.every(({ target }) => target !== 't1'));
 });
 
+test('a claim of an earlier release bars no promotion once its target has left the list', () => {
+  const rig = createSplitRig();
+  rig.cut(rig.next);
+  rig.old.role = 'replica';
+  rig.claimBasis = { era: 0, ageMs: 0, revision: 7, claim: { target: 't2' } };
+  rig.submit('s', { kind: 'write', text: 'WRITE 1 x' });
+  rig.run(5_000);
+  assert.equal(rig.promotions, []);
+  rig.applyList((listed) => (listed.id === 't2' ? undefined : listed));
+  rig.run(10_000);
+  assert.ok(rig.promotions.length > 0);
+});
+
+test('a claim of an earlier release bars no promotion once its target has led', () => {
+  const rig = createSplitRig();
+  rig.claimBasis = { era: 0, ageMs: 0, revision: 7, claim: { target: 't2' } };
+  promoteNext(rig);
+  rig.run(2_000);
+  assert.is(rig.engine.world.groups.get('g')?.primary, 't2');
+  rig.cut(rig.next);
+  reportSuspicion(rig, 't2', 6_000);
+  assert.equal(rig.promotions[0], { group: 'g', target: 't3' });
+  assert.ok(rig.promotions.every(({ target }) => target === 't3'));
+});
+
 test.run();
--- a/packages/direct/src/promotionHistory.ts
+++ b/packages/direct/src/promotionHistory.ts
@@ -43,6 +43,8 @@
   { term, claim }: KnownHistory,
 ): boolean {
   const base = claim?.received;
+  // Only the target itself, once it replies, can show where the promotion has cut the logs back.
+  if (claim && !base) return id !== claim.target;
   if (!received) return term > 0 || base !== undefined;
   // Other replies than a status tell what the target has applied, not all that it holds.
   const isExact = reply === 'status';
--- a/packages/direct/src/promotionSurvey.ts
+++ b/packages/direct/src/promotionSurvey.ts
@@ -41,7 +41,18 @@
   const claim = newestEffective(promotion.basis.claim, (one) =>
     isRefuted(world, group, promotion, one),
   );
-  return { term: group.term, claim };
+  return { term: group.term, claim: claim && mayLeadUnseen(group, claim) ? claim : undefined };
+}
+
+/**
+ * Whether a claim counts: any that names its log does. One of an earlier release, which names none,
+ * counts until its target has been seen to lead, whose term then tells the logs apart, or has left
+ * the list.
+ */
+function mayLeadUnseen({ targets, knownClaim, lastProof }: GroupRow, claim: StoredClaim): boolean {
+  if (claim.received) return true;
+  const hasLed = lastProof?.target === claim.target && lastProof.sentAt >= (knownClaim?.since ?? 0);
+  return !hasLed && targets.has(claim.target);
 }
 
 /**
