--- a/packages/direct/__tests__/quotaFleet.spec.ts
+++ b/packages/direct/__tests__/quotaFleet.spec.ts
@@ -183,6 +183,56 @@
   assert.ok(share > 0.97, `${share}`);
 });
 
+/** Tenants of a fleet: many small ones and a few large ones. */
+const MIXED: readonly Tenant[] = range(0, 78).map((at) => {
+  const ratePerS = at < 6 ? 110 : 8 + (at % 20);
+  return { name: `m${at}`, ratePerS, burst: ratePerS };
+});
+
+/**
+ * All of 72 daemons are killed for half a second. A few faster ones serve again 0.2 s later, the others
+ * after another 0.4 s, and the callers that have lost their connections all come back at once. Returns
+ * the model and when the last daemons started to serve.
+ */
+function replayRestart(factor: number, seed: number): { model: QuotaFleetModel; from: number } {
+  const model = createFleetModel({ daemons: 72, tenants: MIXED, seed });
+  const traffic = MIXED.map((one) => usual(one, factor));
+  const returning = MIXED.map((one) => usual(one, factor * 5));
+  model.run(6_000, traffic);
+  for (const at of range(0, 72)) model.kill(at);
+  model.run(700, []);
+  for (const at of range(0, 6)) model.start(at, 200);
+  model.run(390, traffic);
+  const from = model.now();
+  for (const at of range(6, 72)) {
+    model.start(at, 590);
+    if (at % 8 === 0) model.run(10, returning);
+  }
+  model.run(320, returning);
+  model.run(6_600, traffic);
+  return { model, from };
+}
+
+// Without the unused time of new processes and the stamps of new homes, 0.61 of the operations of the
+// first second were refused, most of them since no home was known.
+test('after a restart of all daemons, the caps are used from the first second on', () => {
+  for (const seed of [1, 2, 3]) {
+    const { model, from } = replayRestart(1, seed);
+    let admitted = 0;
+    let allowed = 0;
+    for (const tenant of MIXED) {
+      admitted += admittedOf(model, tenant).filter((at) => at >= from && at < from + 1_000).length;
+      allowed += tenant.ratePerS;
+    }
+    assert.ok(admitted > 0.97 * allowed, `${admitted} of ${allowed}`);
+    assertCapped(model, MIXED, 'restart');
+  }
+});
+
+test('after a restart of all daemons, tenants that press on their caps get no more', () => {
+  for (const seed of [1, 2, 3]) assertCapped(replayRestart(8, seed).model, MIXED, 'under load');
+});
+
 test('a lowered cap binds at once, and a raised one can be used at once', () => {
   const model = createFleetModel({ daemons: 40, tenants: [LARGE], seed: 8 });
   model.run(5_000, [usual(LARGE, 4)]);
--- a/packages/direct/__tests__/quotaFleet.ts
+++ b/packages/direct/__tests__/quotaFleet.ts
@@ -81,7 +81,8 @@
   kill: (node: number) => void;
   /** Starts a daemon again, unless it runs. */
   startIfDown: (node: number) => void;
-  start: (node: number) => void;
+  /** Starts a daemon whose process takes `bootMs` from its start until it serves. */
+  start: (node: number, bootMs?: number) => void;
   /** Stops a daemon; its clock stands still, or runs on. */
   freeze: (node: number, clockStops: boolean) => void;
   thaw: (node: number) => void;
@@ -129,8 +130,9 @@
     if (list) list.push(value);
     else map.set(key, [value]);
   };
-  const createNodePolicy = (at: number): Policy =>
+  const createNodePolicy = (at: number, bootMs = 0): Policy =>
     create({
+      startedAt: now - bootMs,
       clock: { now: () => now - (nodes[at]?.lostMs ?? 0) },
       random,
       self: `d${at}`,
@@ -229,10 +231,10 @@
       collect(node);
     }
   };
-  const start = (at: number): void => {
+  const start = (at: number, bootMs = 0): void => {
     const node = nodes[at];
     if (!node) return;
-    node.policy = createNodePolicy(at);
+    node.policy = createNodePolicy(at, bootMs);
     node.inbox = [];
     node.state = 'up';
     node.lostMs = 0;
--- a/packages/direct/__tests__/quotaParts.spec.ts
+++ b/packages/direct/__tests__/quotaParts.spec.ts
@@ -35,6 +35,7 @@
     clock,
     random: createRandom(3),
     self,
+    startedAt: clock.now(),
     send: (to, message) => sent.push({ to, message }),
     onMoved: () => undefined,
     hasEnded: () => false,
--- a/packages/direct/src/quotas/lending.ts
+++ b/packages/direct/src/quotas/lending.ts
@@ -25,7 +25,8 @@
   lentTo?: InstanceId;
   /** The home that was last told to `onMoved`. */
   toldHome?: InstanceId;
-  /** When the last loan was sent. */
+  /** When the first and the last loan were sent. */
+  firstLoanAt: Millis;
   lastLoanAt: Millis;
   /** Until then the share may be in use at a home, or at one of an earlier process. */
   lentUntil: Millis;
@@ -48,7 +49,11 @@
   /** False while this daemon may be missing from the others' count, and so owns no share. */
   ownsShare: boolean;
   readonly homeRows: Map<InstanceId, HomeRow>;
+  /** Daemons that have been sent a stamp since this process started. */
+  readonly announcedTo: Set<InstanceId>;
   readonly slices: readonly LendingRow[];
+  /** When this process started; it has used nothing before. */
+  readonly startedAt: Millis;
   readonly onMoved: ShareMoved;
   nextRenewalAt: Millis;
   reviewedAt: Millis;
@@ -92,14 +97,22 @@
 const EXTRA_CAPACITY: ExtraCapacity = { minFillMs: 0, tokens: 8 };
 
 /** Creates the shares of a daemon; a previous process of the same name may have lent them just now. */
-export function createLending(self: InstanceId, now: Millis, onMoved: ShareMoved): Lending {
+export function createLending(
+  self: InstanceId,
+  startedAt: Millis,
+  now: Millis,
+  onMoved: ShareMoved,
+): Lending {
   return {
     self,
+    startedAt,
     homes: rankHomes([]),
     fleetSize: 1,
     ownsShare: false,
     homeRows: new Map(),
+    announcedTo: new Set([self]),
     slices: Array.from({ length: SLICES }, () => ({
+      firstLoanAt: Infinity,
       lastLoanAt: -Infinity,
       lentUntil: now + TAKE_BACK_MS,
       own: createPool(EXTRA_CAPACITY),
@@ -299,6 +312,7 @@
       if (row.lentTo !== undefined && row.lentTo !== home) continue;
       setShare(row.own, 0, now);
       row.lentTo = home;
+      row.firstLoanAt = Math.min(row.firstLoanAt, now);
       row.lastLoanAt = now;
       row.lentUntil = Math.max(row.lentUntil, homeRow.stampAt + TAKE_BACK_MS);
       slices.push(slice);
@@ -306,12 +320,39 @@
   if (home !== lending.self) homeRow.triedSince ??= now;
   homeRow.triedAt = now;
   const { fleetSize } = lending;
-  send(home, {
-    kind: 'lend',
-    stamp: slices.length > 0 ? homeRow.stamp : undefined,
-    fleetSize,
-    slices,
-  });
+  const stamp = slices.length > 0 ? homeRow.stamp : undefined;
+  const unusedMs = unusedBeforeMs(lending, slices, now);
+  send(home, { kind: 'lend', stamp, fleetSize, slices, unusedMs });
+}
+
+/** Time in which a first loan may be repeated with its unused time; no loan ends within it. */
+const FIRST_LOAN_MS: Millis = 300;
+
+/**
+ * Time before a loan in which none of the shares were used: since the start of this process, for the
+ * first loans of a process that has not used them itself. Load pattern: all daemons restart at once,
+ * and their callers come back together; without the tokens of that time most of them exceed the caps.
+ */
+function unusedBeforeMs(lending: Lending, slices: readonly number[], now: Millis): Millis {
+  const unusedMs = Math.max(0, now - lending.startedAt);
+  if (unusedMs >= TAKE_BACK_MS) return 0;
+  for (const slice of slices)
+    if (now - (lending.slices[slice]?.firstLoanAt ?? now) > FIRST_LOAN_MS) return 0;
+  return unusedMs;
+}
+
+/**
+ * Daemons that a first home has yet to send a stamp. Load pattern: all daemons restart, and those that
+ * are ready first find no home; they would ask a silent one again only after `SILENT_ASK_MS`.
+ */
+export function listUnannounced(
+  { self, homes, announcedTo }: Lending,
+  listed: readonly InstanceId[],
+): readonly InstanceId[] {
+  if (!homes.some(([first]) => first === self)) return [];
+  const others = listed.filter((name) => !announcedTo.has(name));
+  for (const name of others) announcedTo.add(name);
+  return others;
 }
 
 /** Discards stamps after a time jump; their age is unknown. */
--- a/packages/direct/src/quotas/lentShares.ts
+++ b/packages/direct/src/quotas/lentShares.ts
@@ -2,7 +2,7 @@
 import type { Tenant } from '../tenants';
 import type { HomeStamp } from './quotaMessages';
 import { SLICES } from './homes';
-import { createPool, setShare, setTenants } from './tokenBuckets';
+import { addUnused, createPool, setShare, setTenants } from './tokenBuckets';
 import type { BucketPool, ExtraCapacity } from './tokenBuckets';
 
 /** A share that another daemon, or this one, lends to this home. */
@@ -16,6 +16,8 @@
   readonly loans: Map<InstanceId, LoanRow>;
   /** Stamps up to this time do not count for a daemon that took its share back. */
   readonly releasedAt: Map<InstanceId, Millis>;
+  /** Until when ended loans counted. */
+  readonly countedUntil: Map<InstanceId, Millis>;
   /** No loan ends before this time. */
   validUntil: Millis;
   readonly pool: BucketPool;
@@ -34,6 +36,9 @@
  */
 export const LOAN_MS: Millis = 1_000;
 
+/** Time for which the end of a loan is kept; no loan claims a longer unused time. */
+const COUNTED_KEPT_MS: Millis = 2_000;
+
 /**
  * Factor on the lent shares. The daemons that are cut off keep their shares; a fiftieth of the tenth
  * by which a cap may be exceeded makes up for a part of it.
@@ -53,19 +58,27 @@
     slices: Array.from({ length: SLICES }, () => ({
       loans: new Map<InstanceId, LoanRow>(),
       releasedAt: new Map<InstanceId, Millis>(),
+      countedUntil: new Map<InstanceId, Millis>(),
       validUntil: Infinity,
       pool: createPool(EXTRA_CAPACITY),
     })),
   };
 }
 
+/** A share of a slice that a daemon lends. */
+export interface Loan {
+  readonly from: InstanceId;
+  readonly fleetSize: number;
+  readonly stamp: HomeStamp;
+  /** Time before the loan in which the share was unused. */
+  readonly unusedMs: Millis;
+}
+
 /** Counts a loan, unless its stamp is too old or was sent before the share was taken back. */
 export function recordLoan(
   lent: LentShares,
   slice: number,
-  from: InstanceId,
-  fleetSize: number,
-  stamp: HomeStamp,
+  { from, fleetSize, stamp, unusedMs }: Loan,
   now: Millis,
 ): void {
   const row = lent.slices[slice];
@@ -82,6 +95,10 @@
     return;
   }
   sumLoans(row, now);
+  if (known) return;
+  // An earlier process of the same daemon may have lent the share, too.
+  const sinceCountedMs = now - (row.countedUntil.get(from) ?? -Infinity);
+  addUnused(row.pool, share, Math.min(unusedMs, sinceCountedMs), now);
 }
 
 /** Forgets the loan of a daemon that takes its share back. */
@@ -89,7 +106,9 @@
   const row = lent.slices[slice];
   if (!row) return;
   row.releasedAt.set(from, now);
-  if (row.loans.delete(from)) sumLoans(row, now);
+  if (!row.loans.delete(from)) return;
+  row.countedUntil.set(from, now);
+  sumLoans(row, now);
 }
 
 /** The buckets of a slice with the shares that are lent now. */
@@ -107,6 +126,7 @@
   for (const [from, { share, until }] of row.loans) {
     if (until <= now) {
       row.loans.delete(from);
+      row.countedUntil.set(from, until);
       // The process may have been stopped: the share has not counted since the end of its loan.
       endedAt = Math.min(endedAt, until);
       continue;
@@ -116,6 +136,8 @@
   }
   // Stamps of before these releases do not count any more in any case.
   for (const [from, at] of row.releasedAt) if (now - at > LOAN_MS) row.releasedAt.delete(from);
+  for (const [from, at] of row.countedUntil)
+    if (now - at > COUNTED_KEPT_MS) row.countedUntil.delete(from);
   setShare(row.pool, Math.min(1, sum) * SHARE_FACTOR, endedAt);
 }
 
--- a/packages/direct/src/quotas/quotaMessages.ts
+++ b/packages/direct/src/quotas/quotaMessages.ts
@@ -36,6 +36,8 @@
       readonly stamp?: HomeStamp;
       readonly fleetSize: number;
       readonly slices: readonly number[];
+      /** Time before this message in which the sender's shares were certainly unused; absent: 0. */
+      readonly unusedMs?: Millis;
     }
   | { readonly kind: 'stamp'; readonly stamp: HomeStamp }
   /** Takes shares back before their lease ends; `released` acknowledges it with the same time. */
--- a/packages/direct/src/quotas/quotas.ts
+++ b/packages/direct/src/quotas/quotas.ts
@@ -8,6 +8,7 @@
   electHome,
   findOwnPool,
   forgetStamps,
+  listUnannounced,
   markHeard,
   reviewLending,
   setOwnTenants,
@@ -88,6 +89,8 @@
   /** Uniform numbers in [0, 1). */
   readonly random: () => number;
   readonly self: InstanceId;
+  /** When this process started, by the clock; it has used nothing before. */
+  readonly startedAt: Millis;
   readonly send: SendQuotaMessage;
   readonly onMoved: ShareMoved;
   /** True for an operation that has ended while it waited. */
@@ -113,7 +116,7 @@
   const { clock, random, self } = options;
   const newEpoch = (): number => Math.floor(random() * 2 ** 31);
   const lent: LentShares = createLentShares(newEpoch());
-  const lending: Lending = createLending(self, clock.now(), options.onMoved);
+  const lending: Lending = createLending(self, options.startedAt, clock.now(), options.onMoved);
   const requests: TokenRequests<Waiter> = createTokenRequests(random);
   const replies = new Map<string, { readonly at: Millis; readonly grants: TokenGrant[] }>();
   let isActive = false;
@@ -141,8 +144,9 @@
   const receive = (from: InstanceId, message: QuotaMessage): void => {
     const now = clock.now();
     if (message.kind === 'lend') {
-      const { stamp, slices, fleetSize } = message;
-      if (stamp) for (const slice of slices) recordLoan(lent, slice, from, fleetSize, stamp, now);
+      const { stamp, slices, fleetSize, unusedMs = 0 } = message;
+      const loan = stamp && { from, fleetSize, stamp, unusedMs };
+      if (loan) for (const slice of slices) recordLoan(lent, slice, loan, now);
       send(from, { kind: 'stamp', stamp: { epoch: lent.epoch, at: now } });
     } else if (message.kind === 'release') {
       for (const slice of message.slices) releaseLoan(lent, slice, from, now);
@@ -158,6 +162,11 @@
       else applyReleased(lending, from, message, now, send);
     }
   };
+  const announce = (): void => {
+    if (!isActive) return;
+    const stamp = { epoch: lent.epoch, at: clock.now() };
+    for (const to of listUnannounced(lending, ranked)) send(to, { kind: 'stamp', stamp });
+  };
   const pruneReplies = (now: Millis): void => {
     for (const [key, { at }] of replies) {
       if (now - at < REPLY_KEPT_MS) return;
@@ -189,10 +198,14 @@
         if (known) known.tenant = tenant;
         else requests.tenants.set(tenant.name, createTenantRow(tenant));
       }
+      announce();
     },
     applyFleet: ({ listed, stableCount, isIsolated }) => {
-      if (listed !== ranked) lending.homes = rankHomes(listed);
-      ranked = listed;
+      if (listed !== ranked) {
+        lending.homes = rankHomes(listed);
+        ranked = listed;
+        announce();
+      }
       lending.fleetSize = Math.max(1, listed.length, stableCount ?? 0);
       lending.ownsShare = !isIsolated && (stableCount !== undefined || listed.includes(self));
     },
--- a/packages/direct/src/quotas/tokenBuckets.ts
+++ b/packages/direct/src/quotas/tokenBuckets.ts
@@ -68,6 +68,15 @@
   for (const bucket of pool.buckets.values()) refill(pool, bucket, now);
 }
 
+/** Adds the tokens of a time in which a share of the caps was unused, up to the capacity. */
+export function addUnused(pool: BucketPool, share: number, unusedMs: Millis, now: Millis): void {
+  for (const bucket of pool.buckets.values()) {
+    refill(pool, bucket, now);
+    const added = (bucket.tenant.ratePerS * share * Math.max(0, unusedMs)) / MS_PER_SECOND;
+    bucket.tokens = Math.min(capacityOf(pool, bucket), bucket.tokens + added);
+  }
+}
+
 /** Replaces the tenants and their caps; new buckets are empty, and lower caps hold at once. */
 export function setTenants(pool: BucketPool, tenants: readonly Tenant[], now: Millis): void {
   const names = new Set(tenants.map(({ name }) => name));
--- a/packages/direct/src/world.ts
+++ b/packages/direct/src/world.ts
@@ -1,4 +1,4 @@
-import type { Clock, FailureDomain, InstanceId } from '@rosedeck/shared';
+import type { Clock, FailureDomain, InstanceId, Millis } from '@rosedeck/shared';
 import { createFleet } from './fleet';
 import { createQuotas } from './quotas/quotas';
 import type { DirectSettings } from './settings';
@@ -14,6 +14,8 @@
   readonly random: () => number;
   readonly name: InstanceId;
   readonly failureDomain: FailureDomain;
+  /** When the process started, by the clock; absent: now. */
+  readonly startedAt?: Millis;
 }
 
 /** Creates tables without configuration or targets. */
@@ -34,6 +36,7 @@
       clock: options.clock,
       random: options.random,
       self: options.name,
+      startedAt: options.startedAt ?? options.clock.now(),
       send: (to, message) => {
         options.io.sendQuotaMessage(to, message);
       },
