--- a/packages/direct/__tests__/quotaFleet.spec.ts
+++ b/packages/direct/__tests__/quotaFleet.spec.ts
@@ -229,6 +229,42 @@
   }
 });
 
+/**
+ * All of 72 daemons are killed, and the store loses their entries. They start within 0.4 s, 1.4 s after
+ * their processes have, and list themselves as they do; half of them see the list at a time.
+ */
+function replayColdStart(factor: number, seed: number): { model: QuotaFleetModel; from: number } {
+  const model = createFleetModel({ daemons: 72, tenants: MIXED, seed });
+  const traffic = MIXED.map((one) => usual(one, factor));
+  const returning = MIXED.map((one) => usual(one, factor * 5));
+  model.run(6_000, traffic);
+  for (const at of range(0, 72)) model.kill(at);
+  model.run(11_000, []);
+  for (const at of range(0, 72)) {
+    model.start(at, 1_400);
+    if (at % 2 === 0) model.run(10, returning);
+  }
+  const from = model.now();
+  model.run(400, returning);
+  model.run(6_600, traffic);
+  return { model, from };
+}
+
+test('after a cold start that fills the directory, the caps are used from the first second on', () => {
+  for (const seed of [1, 2, 3]) {
+    const { model, from } = replayColdStart(1, seed);
+    let admitted = 0;
+    let allowed = 0;
+    for (const tenant of MIXED) {
+      admitted += admittedOf(model, tenant).filter((at) => at >= from && at < from + 1_000).length;
+      allowed += tenant.ratePerS;
+    }
+    assert.ok(admitted > 0.97 * allowed, `${admitted} of ${allowed}`);
+    assertCapped(model, MIXED, 'cold start');
+    assertCapped(replayColdStart(8, seed).model, MIXED, 'cold start under load');
+  }
+});
+
 test('after a restart of all daemons, tenants that press on their caps get no more', () => {
   for (const seed of [1, 2, 3]) assertCapped(replayRestart(8, seed).model, MIXED, 'under load');
 });
--- a/packages/direct/__tests__/quotaFleet.ts
+++ b/packages/direct/__tests__/quotaFleet.ts
@@ -158,7 +158,8 @@
     }
   };
   const applyFleet = (node: Node): void => {
-    node.policy.applyFleet({ listed: node.listed, stableCount, isIsolated: false });
+    const isFilling = node.listed.length < (stableCount ?? 0) * 0.8;
+    node.policy.applyFleet({ listed: node.listed, stableCount, isFilling, isIsolated: false });
   };
   const relist = (): void => {
     for (const node of nodes) if (node.state === 'up' && node.hasStore) node.renewedAt = now;
--- a/packages/direct/__tests__/quotaParts.spec.ts
+++ b/packages/direct/__tests__/quotaParts.spec.ts
@@ -1,7 +1,7 @@
 import { createManualClock } from '@rosedeck/shared';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { createQuotas, rankHomes, sliceOf, SLICES } from '../src/index';
+import { createQuotas, findFast, rankHomes, sliceOf, SLICES } from '../src/index';
 import type { HomeStamp, QuotaMessage, Quotas, Tenant } from '../src/index';
 import { allowancePart, createAllowance, takeAllowance } from '../src/quotas/allowance';
 import { createPool, setShare, setTenants, takeOwnToken } from '../src/quotas/tokenBuckets';
@@ -94,6 +94,47 @@
     if (ranked[0] !== gone) assert.is(after[slice]?.[0], ranked[0]);
 });
 
+test('the fastest daemons become homes first, if there are enough of them', () => {
+  const daemons = Array.from({ length: 72 }, (_, at) => ({
+    name: `d${at}`,
+    cores: at < 6 ? 1.35 : 0.324,
+  }));
+  const names = daemons.map(({ name }) => name);
+  const fast = findFast(daemons);
+  assert.equal([...fast], names.slice(0, 6));
+  for (const ranked of rankHomes(names, fast)) {
+    assert.ok(ranked.slice(0, 6).every((name) => fast.has(name)));
+    assert.is(ranked.length, 8);
+  }
+  assert.is(findFast(daemons.slice(3)).size, 0);
+  assert.is(findFast(names.map((name) => ({ name }))).size, 0);
+});
+
+test('a home that has counted an earlier loan of a daemon adds only the time since', () => {
+  const home = createSingle(HOME);
+  const slices = [sliceOf(AMBER.name)];
+  const ask = (): HomeStamp => {
+    lend(home, FIRST, undefined);
+    return lastStamp(home);
+  };
+  lend(home, FIRST, ask());
+  home.run(300);
+  drain(home, 90);
+  // The daemon is killed and starts again; its new process knows of no earlier loan.
+  home.run(900);
+  drain(home, 91);
+  home.quotas.received(FIRST, {
+    kind: 'lend',
+    stamp: ask(),
+    fleetSize: 4,
+    slices,
+    unusedMs: 1_100,
+  });
+  // 25 tokens a second for the 200 ms since the end of the earlier loan.
+  const granted = drain(home, 92);
+  assert.ok(granted <= 6, `${granted}`);
+});
+
 test('a home without lent shares has no tokens, and one with all has those of the cap', () => {
   const home = createSingle(HOME);
   home.run(3_000);
--- a/packages/direct/__tests__/scarce.spec.ts
+++ b/packages/direct/__tests__/scarce.spec.ts
@@ -429,4 +429,17 @@
     assert.ok(failures - (before[at] ?? 0) <= 14, `${failures}`);
 });
 
+test('a daemon whose directory is nearly empty after a restart leaves connections to the others', () => {
+  const rig = createRig();
+  rig.engine.applyDirectory(DAEMONS.slice(0, 1));
+  rig.engine.fleetSizeSeen(40, 0);
+  openSession(rig, 's', 'loops');
+  for (let at = 0; at < 30; at += 1) {
+    openSession(rig, `s${at}`, 'loops');
+    rig.submit(`s${at}`, { kind: 'read', text: 'READ 1' });
+  }
+  rig.run(60);
+  for (const target of rig.targets) assert.ok(rig.connectionsAt(target.id) <= 1, target.id);
+});
+
 test.run();
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -14,7 +14,7 @@
 import type { ExecutionHooks } from './requestFailures';
 import { applyLeaderships, hasQuorum, confirmersOf } from './fencing';
 import { applyPromotionEnd, expectPrimary, mustOrder } from './failover';
-import { applyListed, applyPeerReport } from './fleet';
+import { applyListed, applyPeerReport, isDirectoryFilling } from './fleet';
 import { recordDomainLoads, recordTotals } from './groupLoads';
 import type {
   GroupLeadership,
@@ -51,7 +51,13 @@
 import type { CallerStatement, LossReason, TargetReply } from './statements';
 import type { ConnectionId, PoolLoad } from './engineIo';
 import type { GroupRow, World } from './tables';
-import { applyConfig, applyTargets, hasTargetsForRoutes, resetAfterTimeJump } from './targetList';
+import {
+  applyConfig,
+  applyTargets,
+  hasTargetsForRoutes,
+  recallTargets,
+  resetAfterTimeJump,
+} from './targetList';
 import { effectiveDrainAcceptMs, nextTickMs, runTick } from './tick';
 import { watchersOf } from './watchers';
 import { createWorld } from './world';
@@ -67,6 +73,8 @@
   applyConfig: (config: DirectConfig, source: string) => void;
   /** Applies the platform's complete list of targets. */
   applyTargets: (list: readonly ListedTarget[], source: string) => void;
+  /** Uses targets of an earlier list for a short time, where the platform's list lacks them. */
+  recallTargets: (earlier: readonly ListedTarget[]) => void;
   /** Applies the daemons of the platform's directory, this one included. */
   applyDirectory: (daemons: readonly ListedDaemon[]) => void;
   applyPeer: (report: PeerReport) => void;
@@ -129,6 +137,8 @@
   isIsolated: () => boolean;
   /** True when every configured group that a route uses has a target. */
   hasTargetsForRoutes: () => boolean;
+  /** True while the directory lacks many daemons of the last stable count. */
+  isDirectoryFilling: () => boolean;
   /** Daemons that this daemon's reports have to reach, beside those chosen at random. */
   opinionReceivers: () => ReadonlySet<InstanceId>;
   /** Creates this daemon's report for the others; `view` and `storeAgeMs` are those of its view. */
@@ -185,6 +195,10 @@
       applyTargets(world, list, source);
       dispatchPending();
     },
+    recallTargets: (earlier) => {
+      recallTargets(world, earlier);
+      dispatchPending();
+    },
     applyDirectory: (daemons) => {
       applyListed(world.fleet, daemons, clock.now());
       world.fleet.confirmers = confirmersOf(daemons);
@@ -314,6 +328,7 @@
     },
     isIsolated: () => isIsolated(world, clock.now()),
     hasTargetsForRoutes: () => hasTargetsForRoutes(world),
+    isDirectoryFilling: () => isDirectoryFilling(world),
     opinionReceivers: () => opinionReceivers(world),
     report: (view, storeAgeMs) => createReport(world, view, storeAgeMs),
   };
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -144,7 +144,7 @@
   return findPromotionReason({
     known: primary !== undefined && !isOutdated(group),
     leaving: primary?.leavingSince !== undefined,
-    unlisted: primary?.unlistedSince !== undefined,
+    unlisted: primary?.unlistedSince !== undefined && !primary.isRecalled,
     suspected: group.suspectedPrimary !== undefined,
     primaryDownMs: isDown ? now - primaryDownSince : 0,
     storeAgeMs: isDown ? world.io.readClaimBasis(group.id).ageMs : 0,
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -59,9 +59,26 @@
   return world.fleet.watchers.size < world.fleet.listed.length;
 }
 
-/** Number of daemons that share the targets' connections, this one included. */
+/**
+ * Number of daemons that share the targets' connections, this one included. Load pattern: all daemons
+ * restart after the store has lost their entries; each would take a nearly empty directory for the
+ * whole fleet, and all connections for its own.
+ */
 export function daemonCount(world: World): number {
-  return Math.max(1, world.fleet.listed.length, world.fleet.peers.size + 1);
+  return Math.max(knownDaemons(world), world.fleet.stableCount ?? 0);
+}
+
+/** Share of the last stable count from which on the directory is nearly complete. */
+const FILLED_SHARE = 0.8;
+
+/** True while the directory lacks many daemons of the last stable count. */
+export function isDirectoryFilling({ fleet }: World): boolean {
+  return fleet.listed.length < (fleet.stableCount ?? 0) * FILLED_SHARE;
+}
+
+/** Number of daemons that are listed or report, this one included. */
+function knownDaemons({ fleet }: World): number {
+  return Math.max(1, fleet.listed.length, fleet.peers.size + 1);
 }
 
 /**
@@ -76,7 +93,7 @@
   const { peers, totals, listed } = world.fleet;
   if (peers.size === 0) return listed.length > 1 ? undefined : 0;
   const sum = totals.get(target)?.[field] ?? 0;
-  const others = daemonCount(world) - 1;
+  const others = knownDaemons(world) - 1;
   return (sum * others) / peers.size;
 }
 
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -38,6 +38,8 @@
 export * from './quotas/index';
 export * from './sampleHistory';
 export { samplersOf } from './samplers';
+export { mustSaveTargets, targetsToSave } from './savedTargets';
+export type { SaveInputs } from './savedTargets';
 export * from './settings';
 export * from './statements';
 export { digestKey, findTenant, resolveIdentity } from './tenants';
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -188,6 +188,11 @@
       readonly inForce: number;
       readonly peer: InstanceId;
     }
+  | {
+      /** Targets that are used although the platform's list lacks their entries. */
+      readonly type: 'targets_recalled';
+      readonly targets: readonly TargetId[];
+    }
   | {
       readonly type: 'targets_changed';
       readonly added: readonly TargetId[];
--- a/packages/direct/src/quotas/index.ts
+++ b/packages/direct/src/quotas/index.ts
@@ -1,5 +1,5 @@
 /** Caps of the tenants over all daemons. */
-export { rankHomes, sliceOf, SLICES } from './homes';
+export { findFast, rankHomes, sliceOf, SLICES } from './homes';
 export type { HomeTable } from './homes';
 export type { HomeStamp, QuotaMessage, TokenGrant, TokenWant } from './quotaMessages';
 export { createQuotas } from './quotas';
--- a/packages/direct/src/quotas/lending.ts
+++ b/packages/direct/src/quotas/lending.ts
@@ -25,8 +25,11 @@
   lentTo?: InstanceId;
   /** The home that was last told to `onMoved`. */
   toldHome?: InstanceId;
-  /** When the first and the last loan were sent. */
-  firstLoanAt: Millis;
+  /** When the share was first lent or used here; undefined: not yet. */
+  countedSince?: Millis;
+  /** The first loan: only the home that got it may add the unused time before. */
+  firstLoan?: { readonly home: InstanceId; readonly at: Millis };
+  /** When the last loan was sent. */
   lastLoanAt: Millis;
   /** Until then the share may be in use at a home, or at one of an earlier process. */
   lentUntil: Millis;
@@ -86,6 +89,13 @@
 /** Silence after which the next home stands in: a lost datagram must not move the shares. */
 const STAND_IN_AFTER_MS: Millis = 250;
 
+/**
+ * Time after the start of a process in which it neither lends nor uses its shares while the directory
+ * fills up. Load pattern: all daemons restart after the store has lost their entries. Homes change with
+ * each entry then, and the tokens of the earlier ones are lost.
+ */
+export const STARTING_MS: Millis = 3_000;
+
 /** Longer times between two reviews say that this daemon stood still, with unread replies. */
 const STALL_MS: Millis = 150;
 
@@ -112,7 +122,6 @@
     homeRows: new Map(),
     announcedTo: new Set([self]),
     slices: Array.from({ length: SLICES }, () => ({
-      firstLoanAt: Infinity,
       lastLoanAt: -Infinity,
       lentUntil: now + TAKE_BACK_MS,
       own: createPool(EXTRA_CAPACITY),
@@ -169,6 +178,12 @@
   return lending.homeRows.get(home)?.silentSince !== undefined;
 }
 
+/** True until a new process has first lent or used its share of a slice. */
+export function isStarting(lending: Lending, slice: number, now: Millis): boolean {
+  const { startedAt, slices } = lending;
+  return slices[slice]?.countedSince === undefined && now - startedAt < STARTING_MS;
+}
+
 /** Records that a home left a request unanswered; it is asked for a stamp at once. */
 export function markSilent(
   lending: Lending,
@@ -250,6 +265,7 @@
       lending.nextRenewalAt = now;
     }
     setShare(row.own, isOwn && lending.ownsShare ? 1 / lending.fleetSize : 0, now);
+    if (row.own.share > 0) row.countedSince ??= now;
     if (row.toldHome === row.lentTo) continue;
     lending.onMoved(slice, row.toldHome, row.lentTo);
     row.toldHome = row.lentTo;
@@ -312,7 +328,8 @@
       if (row.lentTo !== undefined && row.lentTo !== home) continue;
       setShare(row.own, 0, now);
       row.lentTo = home;
-      row.firstLoanAt = Math.min(row.firstLoanAt, now);
+      row.countedSince ??= now;
+      row.firstLoan ??= { home, at: now };
       row.lastLoanAt = now;
       row.lentUntil = Math.max(row.lentUntil, homeRow.stampAt + TAKE_BACK_MS);
       slices.push(slice);
@@ -321,7 +338,7 @@
   homeRow.triedAt = now;
   const { fleetSize } = lending;
   const stamp = slices.length > 0 ? homeRow.stamp : undefined;
-  const unusedMs = unusedBeforeMs(lending, slices, now);
+  const unusedMs = unusedBeforeMs(lending, home, slices, now);
   send(home, { kind: 'lend', stamp, fleetSize, slices, unusedMs });
 }
 
@@ -329,16 +346,23 @@
 const FIRST_LOAN_MS: Millis = 300;
 
 /**
- * Time before a loan in which none of the shares were used: since the start of this process, for the
- * first loans of a process that has not used them itself. Load pattern: all daemons restart at once,
- * and their callers come back together; without the tokens of that time most of them exceed the caps.
+ * Time in which none of the shares were used: from the start of this process until they were first lent
+ * or used here. Only first loans tell it. Load pattern: all daemons restart at once, and their callers
+ * come back together; without the tokens of that time most of them exceed the caps.
  */
-function unusedBeforeMs(lending: Lending, slices: readonly number[], now: Millis): Millis {
-  const unusedMs = Math.max(0, now - lending.startedAt);
-  if (unusedMs >= TAKE_BACK_MS) return 0;
-  for (const slice of slices)
-    if (now - (lending.slices[slice]?.firstLoanAt ?? now) > FIRST_LOAN_MS) return 0;
-  return unusedMs;
+function unusedBeforeMs(
+  lending: Lending,
+  home: InstanceId,
+  slices: readonly number[],
+  now: Millis,
+): Millis {
+  let until = now;
+  for (const slice of slices) {
+    const row = lending.slices[slice];
+    if (row?.firstLoan?.home !== home || now - row.firstLoan.at > FIRST_LOAN_MS) return 0;
+    until = Math.min(until, row.countedSince ?? now);
+  }
+  return slices.length === 0 ? 0 : Math.max(0, until - lending.startedAt);
 }
 
 /**
--- a/packages/direct/src/quotas/quotaGate.ts
+++ b/packages/direct/src/quotas/quotaGate.ts
@@ -3,6 +3,8 @@
 import { failRequest } from '../requestFailures';
 import type { ExecutionHooks } from '../requestFailures';
 import type { RequestRow, World } from '../tables';
+import { findFast } from './homes';
+import { isDirectoryFilling } from '../fleet';
 import type { QuotaMessage } from './quotaMessages';
 import type { QuotaDecision } from './tenantRows';
 
@@ -19,7 +21,9 @@
   const isAlone = fleet.peers.size === 0 && listed.length > 1;
   world.quotas.applyFleet({
     listed: fleet.names,
+    fast: findFast(listed),
     stableCount: fleet.stableCount,
+    isFilling: isDirectoryFilling(world),
     // A share counts only once the stable count has been looked up.
     isIsolated: fleet.storeAgeMs === Infinity || (isAlone && fleet.storeAgeMs > ISOLATED_AFTER_MS),
   });
--- a/packages/direct/src/quotas/quotas.ts
+++ b/packages/direct/src/quotas/quotas.ts
@@ -11,6 +11,7 @@
   listUnannounced,
   markHeard,
   reviewLending,
+  STARTING_MS,
   setOwnTenants,
 } from './lending';
 import type { Lending, SendQuotaMessage, ShareMoved } from './lending';
@@ -41,8 +42,12 @@
 export interface QuotaFleet {
   /** Listed daemons, this one included once it is listed. */
   readonly listed: readonly InstanceId[];
+  /** Those that become homes first; see `findFast`. */
+  readonly fast?: ReadonlySet<InstanceId>;
   /** Last stable count of daemons in the store, if there is one. */
   readonly stableCount?: number;
+  /** The directory lacks many daemons, whose entries are being written; absent: it does not. */
+  readonly isFilling?: boolean;
   /** This daemon has been out of touch for so long that the others may count without it. */
   readonly isIsolated: boolean;
 }
@@ -120,6 +125,8 @@
   const requests: TokenRequests<Waiter> = createTokenRequests(random);
   const replies = new Map<string, { readonly at: Millis; readonly grants: TokenGrant[] }>();
   let isActive = false;
+  /** The directory has been nearly complete since this process started, or had the time for it. */
+  let hasSettled = false;
   /** The directory for which the homes are worked out. */
   let ranked: readonly InstanceId[] = [];
 
@@ -200,14 +207,16 @@
       }
       announce();
     },
-    applyFleet: ({ listed, stableCount, isIsolated }) => {
+    applyFleet: ({ listed, fast, stableCount, isFilling = false, isIsolated }) => {
       if (listed !== ranked) {
-        lending.homes = rankHomes(listed);
+        lending.homes = rankHomes(listed, fast);
         ranked = listed;
         announce();
       }
       lending.fleetSize = Math.max(1, listed.length, stableCount ?? 0);
-      lending.ownsShare = !isIsolated && (stableCount !== undefined || listed.includes(self));
+      const mayOwn = !isIsolated && (stableCount !== undefined || listed.includes(self));
+      hasSettled ||= !isFilling || clock.now() - options.startedAt > STARTING_MS;
+      lending.ownsShare = mayOwn && hasSettled;
     },
     request: (tenant, waiter) => {
       const row = requests.tenants.get(tenant);
--- a/packages/direct/src/quotas/tokenBuckets.ts
+++ b/packages/direct/src/quotas/tokenBuckets.ts
@@ -68,11 +68,16 @@
   for (const bucket of pool.buckets.values()) refill(pool, bucket, now);
 }
 
-/** Adds the tokens of a time in which a share of the caps was unused, up to the capacity. */
+/**
+ * Adds the tokens of a time in which a share of the caps was unused: those that a bucket of that share
+ * would hold. Shares that are added one after the other must not bring more, though the pool's own
+ * bucket is emptied in between.
+ */
 export function addUnused(pool: BucketPool, share: number, unusedMs: Millis, now: Millis): void {
   for (const bucket of pool.buckets.values()) {
     refill(pool, bucket, now);
-    const added = (bucket.tenant.ratePerS * share * Math.max(0, unusedMs)) / MS_PER_SECOND;
+    const { ratePerS, burst } = bucket.tenant;
+    const added = Math.min(burst, (ratePerS * Math.max(0, unusedMs)) / MS_PER_SECOND) * share;
     bucket.tokens = Math.min(capacityOf(pool, bucket), bucket.tokens + added);
   }
 }
--- a/packages/direct/src/quotas/tokenRequests.ts
+++ b/packages/direct/src/quotas/tokenRequests.ts
@@ -1,6 +1,13 @@
 import type { InstanceId, Millis } from '@rosedeck/shared';
 import { takeAllowance } from './allowance';
-import { electHome, findAskedHome, findOwnPool, markSilent, untilTakenBackMs } from './lending';
+import {
+  electHome,
+  findAskedHome,
+  findOwnPool,
+  isStarting,
+  markSilent,
+  untilTakenBackMs,
+} from './lending';
 import type { Lending, SendQuotaMessage } from './lending';
 import type { TokenGrant, TokenWant } from './quotaMessages';
 import type { AskRow, RefusalReason, TenantRow, TokenRequests } from './tenantRows';
@@ -29,6 +36,12 @@
 /** Longer times between two reviews say that this daemon stood still, with unread replies. */
 const STALL_MS: Millis = 60;
 
+/**
+ * Pause before a home is asked again while shares are about to be lent to it. Load pattern: all daemons
+ * restart; operations wait for the first loans instead of being refused, within `MAX_TOKEN_WAIT_MS`.
+ */
+const START_RETRY_MS: Millis = 20;
+
 /** Longest wait of an operation for a token. */
 const MAX_TOKEN_WAIT_MS: Millis = 150;
 
@@ -68,7 +81,8 @@
     refuse(requests, context, row, waiter, 'cap', row.opensAt - now);
     return false;
   }
-  if (findAskedHome(context.lending, row.slice, now) === undefined) {
+  const hasHome = findAskedHome(context.lending, row.slice, now) !== undefined;
+  if (!hasHome && !isStarting(context.lending, row.slice, now)) {
     decideWithoutHome(requests, context, row, waiter, now);
     return false;
   }
@@ -117,6 +131,7 @@
   const due = new Set<InstanceId>();
   for (const row of requests.toAsk) {
     const home = findAskedHome(context.lending, row.slice, now);
+    if (home === undefined && isStarting(context.lending, row.slice, now)) continue;
     if (home === undefined) {
       requests.toAsk.delete(row);
       decideAllWithoutHome(requests, context, row, row.waiting.length - row.covered, now);
@@ -196,7 +211,10 @@
   if (missing > 0) {
     // While shares move to this home, its wait says nothing about the cap.
     const isSettled = context.lending.slices[row.slice]?.lentTo === from;
-    if (grant.waitMs < 0 || !isSettled) decideAllWithoutHome(requests, context, row, missing, now);
+    const isLent = isSettled && grant.waitMs >= 0;
+    if (!isLent && isStarting(context.lending, row.slice, now))
+      applyWait(requests, context, row, missing, START_RETRY_MS, now);
+    else if (!isLent) decideAllWithoutHome(requests, context, row, missing, now);
     else applyWait(requests, context, row, missing, grant.waitMs, now);
   }
   if (row.waiting.length === 0) requests.withWaiting.delete(row);
@@ -313,7 +331,10 @@
     while (!hasStalled && row.waiting[0] && now - row.waiting[0].since >= MAX_TOKEN_WAIT_MS) {
       const oldest = row.waiting.shift();
       const waitMs = Math.max(SHORT_WAIT_MS, row.askAfter - now);
-      if (oldest) refuse(requests, context, row, oldest.waiter, 'wait', waitMs);
+      if (!oldest) break;
+      if (isStarting(context.lending, row.slice, now))
+        decideWithoutHome(requests, context, row, oldest.waiter, now);
+      else refuse(requests, context, row, oldest.waiter, 'wait', waitMs);
     }
     if (row.waiting.length === 0) requests.withWaiting.delete(row);
   }
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -100,6 +100,8 @@
   renewedAt: Millis;
   /** Since when the target has been missing from the platform's list. */
   unlistedSince?: Millis;
+  /** The target is known from an earlier list only; see `recallTargets`. */
+  isRecalled: boolean;
   leavingSince?: Millis;
   /** Connections that this daemon has opened itself. */
   readonly connections: Set<ConnectionRow>;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -96,6 +96,7 @@
     recordRenewal(row, listed, now);
     row.listed = listed;
     row.unlistedSince = undefined;
+    row.isRecalled = false;
   }
   for (const row of world.targets.values()) {
     if (listedIds.has(row.listed.id) || row.unlistedSince !== undefined) continue;
@@ -107,13 +108,35 @@
     world.io.log({ type: 'targets_changed', added, removed, leaving, source });
 }
 
+/**
+ * Uses targets of an earlier list that the platform's list lacks, as if their entries had just been
+ * removed. Load pattern: all daemons restart in an outage of the store, in which the entries of living
+ * targets expire; these are written again only seconds after its end.
+ */
+export function recallTargets(world: World, earlier: readonly ListedTarget[]): void {
+  const now = world.clock.now();
+  const addresses = new Set([...world.targets.values()].map(({ listed }) => listed.address));
+  const recalled: TargetId[] = [];
+  for (const listed of earlier) {
+    const group = world.groups.get(listed.group);
+    if (!group || world.targets.has(listed.id) || addresses.has(listed.address)) continue;
+    const row = addTarget(world, group, listed, now);
+    row.unlistedSince = now;
+    row.isRecalled = true;
+    if (listed.leaving) row.leavingSince = now;
+    recalled.push(listed.id);
+    world.groupsToDispatch.add(group);
+  }
+  if (recalled.length > 0) world.io.log({ type: 'targets_recalled', targets: recalled });
+}
+
 function recordRenewal(row: TargetRow, listed: ListedTarget, now: Millis): void {
   if (row.listed.revision === listed.revision && row.listed.era === listed.era) return;
   updateAverage(row.group.renewalMs, now - row.renewedAt);
   row.renewedAt = now;
 }
 
-function addTarget(world: World, group: GroupRow, listed: ListedTarget, now: Millis): void {
+function addTarget(world: World, group: GroupRow, listed: ListedTarget, now: Millis): TargetRow {
   const row: TargetRow = {
     listed,
     group,
@@ -128,6 +151,7 @@
     recheckAt: now,
     lastReplyAt: now,
     notPrimaryAt: -Infinity,
+    isRecalled: false,
     rating: { latencyRatio: 1, at: now },
     lastStatementDoneAt: -Infinity,
     smoothedInFlight: 0,
@@ -139,9 +163,11 @@
   };
   group.targets.set(listed.id, row);
   world.targets.set(listed.id, row);
-  if (group.primary !== listed.id) return;
-  group.primaryProvenAt = undefined;
-  group.primaryLearnedAt = undefined;
+  if (group.primary === listed.id) {
+    group.primaryProvenAt = undefined;
+    group.primaryLearnedAt = undefined;
+  }
+  return row;
 }
 
 /** Removes a target and closes its connections. */
