--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -41,6 +41,8 @@
 export { mustSaveTargets, targetsToSave } from './savedTargets';
 export type { SaveInputs } from './savedTargets';
 export * from './settings';
+export { decideStartup } from './startup';
+export type { StartupInputs, StartupStep } from './startup';
 export * from './statements';
 export { digestKey, findTenant, resolveIdentity } from './tenants';
 export type { Identity, KeyDigest, Tenant, TenantDirectory, TenantName } from './tenants';
