--- a/packages/direct/src/quotas/lending.ts
+++ b/packages/direct/src/quotas/lending.ts
@@ -1,7 +1,8 @@
 import type { InstanceId, Millis } from '@rosedeck/shared';
 import type { Tenant } from '../tenants';
 import { rankHomes, SLICES } from './homes';
-import type { HomeTable } from './homes';
+import { unusedBeforeMs } from './newProcess';
+import type { NewProcess, NewShare } from './newProcess';
 import type { HomeStamp, QuotaMessage } from './quotaMessages';
 import { createPool, setShare, setTenants } from './tokenBuckets';
 import type { BucketPool, ExtraCapacity } from './tokenBuckets';
@@ -20,15 +21,11 @@
 }
 
 /** This daemon's share of the caps of one slice. */
-interface LendingRow {
+interface LendingRow extends NewShare {
   /** The home that counts, or may count, this daemon's share. */
   lentTo?: InstanceId;
   /** The home that was last told to `onMoved`. */
   toldHome?: InstanceId;
-  /** When the share was first lent or used here; undefined: not yet. */
-  countedSince?: Millis;
-  /** The first loan: only the home that got it may add the unused time before. */
-  firstLoan?: { readonly home: InstanceId; readonly at: Millis };
   /** When the last loan was sent. */
   lastLoanAt: Millis;
   /** Until then the share may be in use at a home, or at one of an earlier process. */
@@ -45,18 +42,12 @@
 ) => void;
 
 /** The shares that this daemon owns. */
-export interface Lending {
-  readonly self: InstanceId;
-  homes: HomeTable;
+export interface Lending extends NewProcess {
   fleetSize: number;
   /** False while this daemon may be missing from the others' count, and so owns no share. */
   ownsShare: boolean;
   readonly homeRows: Map<InstanceId, HomeRow>;
-  /** Daemons that have been sent a stamp since this process started. */
-  readonly announcedTo: Set<InstanceId>;
   readonly slices: readonly LendingRow[];
-  /** When this process started; it has used nothing before. */
-  readonly startedAt: Millis;
   readonly onMoved: ShareMoved;
   nextRenewalAt: Millis;
   reviewedAt: Millis;
@@ -89,13 +80,6 @@
 /** Silence after which the next home stands in: a lost datagram must not move the shares. */
 const STAND_IN_AFTER_MS: Millis = 250;
 
-/**
- * Time after the start of a process in which it neither lends nor uses its shares while the directory
- * fills up. Load pattern: all daemons restart after the store has lost their entries. Homes change with
- * each entry then, and the tokens of the earlier ones are lost.
- */
-export const STARTING_MS: Millis = 3_000;
-
 /** Longer times between two reviews say that this daemon stood still, with unread replies. */
 const STALL_MS: Millis = 150;
 
@@ -178,12 +162,6 @@
   return lending.homeRows.get(home)?.silentSince !== undefined;
 }
 
-/** True until a new process has first lent or used its share of a slice. */
-export function isStarting(lending: Lending, slice: number, now: Millis): boolean {
-  const { startedAt, slices } = lending;
-  return slices[slice]?.countedSince === undefined && now - startedAt < STARTING_MS;
-}
-
 /** Records that a home left a request unanswered; it is asked for a stamp at once. */
 export function markSilent(
   lending: Lending,
@@ -342,43 +320,6 @@
   send(home, { kind: 'lend', stamp, fleetSize, slices, unusedMs });
 }
 
-/** Time in which a first loan may be repeated with its unused time; no loan ends within it. */
-const FIRST_LOAN_MS: Millis = 300;
-
-/**
- * Time in which none of the shares were used: from the start of this process until they were first lent
- * or used here. Only first loans tell it. Load pattern: all daemons restart at once, and their callers
- * come back together; without the tokens of that time most of them exceed the caps.
- */
-function unusedBeforeMs(
-  lending: Lending,
-  home: InstanceId,
-  slices: readonly number[],
-  now: Millis,
-): Millis {
-  let until = now;
-  for (const slice of slices) {
-    const row = lending.slices[slice];
-    if (row?.firstLoan?.home !== home || now - row.firstLoan.at > FIRST_LOAN_MS) return 0;
-    until = Math.min(until, row.countedSince ?? now);
-  }
-  return slices.length === 0 ? 0 : Math.max(0, until - lending.startedAt);
-}
-
-/**
- * Daemons that a first home has yet to send a stamp. Load pattern: all daemons restart, and those that
- * are ready first find no home; they would ask a silent one again only after `SILENT_ASK_MS`.
- */
-export function listUnannounced(
-  { self, homes, announcedTo }: Lending,
-  listed: readonly InstanceId[],
-): readonly InstanceId[] {
-  if (!homes.some(([first]) => first === self)) return [];
-  const others = listed.filter((name) => !announcedTo.has(name));
-  for (const name of others) announcedTo.add(name);
-  return others;
-}
-
 /** Discards stamps after a time jump; their age is unknown. */
 export function forgetStamps(lending: Lending): void {
   for (const row of lending.homeRows.values()) {
--- a/packages/direct/src/quotas/quotas.ts
+++ b/packages/direct/src/quotas/quotas.ts
@@ -8,10 +8,8 @@
   electHome,
   findOwnPool,
   forgetStamps,
-  listUnannounced,
   markHeard,
   reviewLending,
-  STARTING_MS,
   setOwnTenants,
 } from './lending';
 import type { Lending, SendQuotaMessage, ShareMoved } from './lending';
@@ -24,6 +22,7 @@
   setHomeTenants,
 } from './lentShares';
 import type { LentShares } from './lentShares';
+import { listUnannounced, STARTING_MS } from './newProcess';
 import type { QuotaMessage, TokenGrant, TokenWant } from './quotaMessages';
 import { createTenantRow, createTokenRequests } from './tenantRows';
 import type { QuotaDecision, TokenRequests } from './tenantRows';
--- a/packages/direct/src/quotas/tokenRequests.ts
+++ b/packages/direct/src/quotas/tokenRequests.ts
@@ -1,13 +1,7 @@
 import type { InstanceId, Millis } from '@rosedeck/shared';
 import { takeAllowance } from './allowance';
-import {
-  electHome,
-  findAskedHome,
-  findOwnPool,
-  isStarting,
-  markSilent,
-  untilTakenBackMs,
-} from './lending';
+import { electHome, findAskedHome, findOwnPool, markSilent, untilTakenBackMs } from './lending';
+import { isStarting } from './newProcess';
 import type { Lending, SendQuotaMessage } from './lending';
 import type { TokenGrant, TokenWant } from './quotaMessages';
 import type { AskRow, RefusalReason, TenantRow, TokenRequests } from './tenantRows';
