--- a/packages/direct/src/quotas/tokenBuckets.ts
+++ b/packages/direct/src/quotas/tokenBuckets.ts
@@ -165,7 +165,14 @@
     return { granted: 1, waitMs: 0 };
   }
   if (mayRound) bucket.tokens = 0;
-  const rate = rateOf(pool, bucket);
-  const waitMs = rate === 0 ? MAX_WAIT_MS : Math.min(MAX_WAIT_MS, (1 - tokens) / rate);
-  return { granted: 0, waitMs };
+  return { granted: 0, waitMs: ownWaitMs(pool, tenant, now) };
+}
+
+/** Time until a daemon's own share has a whole token for a tenant. */
+export function ownWaitMs(pool: BucketPool, tenant: TenantName, now: Millis): Millis {
+  const bucket = pool.buckets.get(tenant);
+  const rate = bucket ? rateOf(pool, bucket) : 0;
+  if (!bucket || rate === 0) return MAX_WAIT_MS;
+  refill(pool, bucket, now);
+  return Math.min(MAX_WAIT_MS, Math.max(0, 1 - bucket.tokens) / rate);
 }
--- a/packages/direct/src/quotas/tokenRequests.ts
+++ b/packages/direct/src/quotas/tokenRequests.ts
@@ -5,7 +5,7 @@
 import type { Lending, SendQuotaMessage } from './lending';
 import type { TokenGrant, TokenWant } from './quotaMessages';
 import type { AskRow, RefusalReason, TenantRow, TokenRequests } from './tenantRows';
-import { takeOwnToken } from './tokenBuckets';
+import { ownWaitMs, takeOwnToken } from './tokenBuckets';
 import { recentNeeds, recordNeed, recordUse } from './usage';
 
 /** What the systems over these tables need. */
@@ -75,10 +75,12 @@
     refuse(requests, context, row, waiter, 'cap', row.opensAt - now);
     return false;
   }
-  const hasHome = findAskedHome(context.lending, row.slice, now) !== undefined;
-  if (!hasHome && !isStarting(context.lending, row.slice, now)) {
-    decideWithoutHome(requests, context, row, waiter, now);
-    return false;
+  if (findAskedHome(context.lending, row.slice, now) === undefined) {
+    if (admitWithoutHome(requests, context, row, waiter, now)) return false;
+    if (!isStarting(context.lending, row.slice, now)) {
+      refuseWithoutHome(requests, context, row, waiter, now);
+      return false;
+    }
   }
   row.waiting.push({ waiter, since: now });
   requests.toAsk.add(row);
@@ -205,10 +207,7 @@
   if (missing > 0) {
     // While shares move to this home, its wait says nothing about the cap.
     const isSettled = context.lending.slices[row.slice]?.lentTo === from;
-    const isLent = isSettled && grant.waitMs >= 0;
-    if (!isLent && isStarting(context.lending, row.slice, now))
-      applyWait(requests, context, row, missing, START_RETRY_MS, now);
-    else if (!isLent) decideAllWithoutHome(requests, context, row, missing, now);
+    if (grant.waitMs < 0 || !isSettled) decideAllWithoutHome(requests, context, row, missing, now);
     else applyWait(requests, context, row, missing, grant.waitMs, now);
   }
   if (row.waiting.length === 0) requests.withWaiting.delete(row);
@@ -267,7 +266,10 @@
   });
 }
 
-/** Decides about the oldest waiting operations without a home. */
+/**
+ * Decides about the oldest waiting operations without a home. Those of a new process wait on: the first
+ * loans are under way.
+ */
 function decideAllWithoutHome<Waiter>(
   requests: TokenRequests<Waiter>,
   context: RequestContext,
@@ -275,29 +277,50 @@
   count: number,
   now: Millis,
 ): void {
-  for (const { waiter } of row.waiting.splice(0, Math.max(0, count)))
-    decideWithoutHome(requests, context, row, waiter, now);
+  const isNew = isStarting(context.lending, row.slice, now);
+  const oldest = row.waiting.splice(0, Math.max(0, count));
+  const rest = oldest.filter(({ waiter, since }) => {
+    if (admitWithoutHome(requests, context, row, waiter, now)) return false;
+    if (isNew && now - since < MAX_TOKEN_WAIT_MS) return true;
+    refuseWithoutHome(requests, context, row, waiter, now);
+    return false;
+  });
+  row.waiting.unshift(...rest);
+  if (rest.length > 0) {
+    row.askAfter = now + START_RETRY_MS;
+    requests.toAsk.add(row);
+  }
   if (row.waiting.length === 0) requests.withWaiting.delete(row);
 }
 
-/** Uses the own share if no home counts it, else the allowance. */
-function decideWithoutHome<Waiter>(
+/** Admits an operation by the own share if no home counts it, else by the allowance, where it can. */
+function admitWithoutHome<Waiter>(
+  requests: TokenRequests<Waiter>,
+  { lending, random }: RequestContext,
+  row: TenantRow<Waiter>,
+  waiter: Waiter,
+  now: Millis,
+): boolean {
+  const own = findOwnPool(lending, row.slice);
+  const isAdmitted = own
+    ? takeOwnToken(own, row.tenant.name, now, random).granted > 0
+    : takeAllowance(row.allowance, row.tenant, lending.fleetSize, now, random);
+  if (isAdmitted) admit(requests, row, waiter, now);
+  return isAdmitted;
+}
+
+/** Refuses an operation that `admitWithoutHome` has not admitted. */
+function refuseWithoutHome<Waiter>(
   requests: TokenRequests<Waiter>,
   context: RequestContext,
   row: TenantRow<Waiter>,
   waiter: Waiter,
   now: Millis,
 ): void {
-  const { lending, random } = context;
+  const { lending } = context;
   const own = findOwnPool(lending, row.slice);
   if (own) {
-    const { granted, waitMs } = takeOwnToken(own, row.tenant.name, now, random);
-    if (granted > 0) admit(requests, row, waiter, now);
-    else refuse(requests, context, row, waiter, 'cap', waitMs);
-    return;
-  }
-  if (takeAllowance(row.allowance, row.tenant, lending.fleetSize, now, random)) {
-    admit(requests, row, waiter, now);
+    refuse(requests, context, row, waiter, 'cap', ownWaitMs(own, row.tenant.name, now));
     return;
   }
   const backMs = untilTakenBackMs(lending, row.slice, now);
@@ -326,9 +349,10 @@
       const oldest = row.waiting.shift();
       const waitMs = Math.max(SHORT_WAIT_MS, row.askAfter - now);
       if (!oldest) break;
-      if (isStarting(context.lending, row.slice, now))
-        decideWithoutHome(requests, context, row, oldest.waiter, now);
-      else refuse(requests, context, row, oldest.waiter, 'wait', waitMs);
+      if (!isStarting(context.lending, row.slice, now))
+        refuse(requests, context, row, oldest.waiter, 'wait', waitMs);
+      else if (!admitWithoutHome(requests, context, row, oldest.waiter, now))
+        refuseWithoutHome(requests, context, row, oldest.waiter, now);
     }
     if (row.waiting.length === 0) requests.withWaiting.delete(row);
   }
