--- a/packages/direct/__tests__/quotaFleet.spec.ts
+++ b/packages/direct/__tests__/quotaFleet.spec.ts
@@ -189,6 +189,17 @@
   return { name: `m${at}`, ratePerS, burst: ratePerS };
 });
 
+/** Asserts that the tenants get what their caps allow in the second after a time. */
+function assertUsed(model: QuotaFleetModel, from: number): void {
+  let admitted = 0;
+  let allowed = 0;
+  for (const tenant of MIXED) {
+    admitted += admittedOf(model, tenant).filter((at) => at >= from && at < from + 1_000).length;
+    allowed += tenant.ratePerS;
+  }
+  assert.ok(admitted > 0.97 * allowed, `${admitted} of ${allowed}`);
+}
+
 /**
  * All of 72 daemons are killed for half a second. A few faster ones serve again 0.2 s later, the others
  * after another 0.4 s, and the callers that have lost their connections all come back at once. Returns
@@ -218,13 +229,7 @@
 test('after a restart of all daemons, the caps are used from the first second on', () => {
   for (const seed of [1, 2, 3]) {
     const { model, from } = replayRestart(1, seed);
-    let admitted = 0;
-    let allowed = 0;
-    for (const tenant of MIXED) {
-      admitted += admittedOf(model, tenant).filter((at) => at >= from && at < from + 1_000).length;
-      allowed += tenant.ratePerS;
-    }
-    assert.ok(admitted > 0.97 * allowed, `${admitted} of ${allowed}`);
+    assertUsed(model, from);
     assertCapped(model, MIXED, 'restart');
   }
 });
@@ -253,13 +258,7 @@
 test('after a cold start that fills the directory, the caps are used from the first second on', () => {
   for (const seed of [1, 2, 3]) {
     const { model, from } = replayColdStart(1, seed);
-    let admitted = 0;
-    let allowed = 0;
-    for (const tenant of MIXED) {
-      admitted += admittedOf(model, tenant).filter((at) => at >= from && at < from + 1_000).length;
-      allowed += tenant.ratePerS;
-    }
-    assert.ok(admitted > 0.97 * allowed, `${admitted} of ${allowed}`);
+    assertUsed(model, from);
     assertCapped(model, MIXED, 'cold start');
     assertCapped(replayColdStart(8, seed).model, MIXED, 'cold start under load');
   }
