--- a/packages/direct/__tests__/quotaFleet.spec.ts
+++ b/packages/direct/__tests__/quotaFleet.spec.ts
@@ -225,7 +225,7 @@
 }
 
 // Without the unused time of new processes and the stamps of new homes, 0.61 of the operations of the
-// first second were refused, most of them since no home was known.
+// first second were refused.
 test('after a restart of all daemons, the caps are used from the first second on', () => {
   for (const seed of [1, 2, 3]) {
     const { model, from } = replayRestart(1, seed);
