--- a/review/lib/links.ts
+++ b/review/lib/links.ts
@@ -78,10 +78,17 @@
 
   private async listen(to: string, target: () => number): Promise<number> {
     const listener = net.createServer({ pauseOnConnect: true }, (client) => {
+      const from = this.findOwner(client.remotePort ?? 0);
+      client.on('error', () => undefined);
+      if (from === '') {
+        // The daemon has given the connection up meanwhile.
+        client.destroy();
+        return;
+      }
       const server = net.connect({ port: target(), host: HOST, noDelay: true });
       client.setNoDelay(true);
       const flow: Flow = {
-        from: this.findOwner(client.remotePort ?? 0),
+        from,
         to,
         sockets: [client, server],
       };
