--- a/review/lib/links.ts
+++ b/review/lib/links.ts
@@ -78,7 +78,7 @@
 
   private async listen(to: string, target: () => number): Promise<number> {
     const listener = net.createServer({ pauseOnConnect: true }, (client) => {
-      const from = this.findOwner(client.remotePort ?? 0);
+      const from = this.findOwner(client.remotePort ?? 0, client.localPort ?? 0);
       client.on('error', () => undefined);
       if (from === '') {
         // The daemon has given the connection up meanwhile.
@@ -117,13 +117,17 @@
       else socket.resume();
   }
 
-  /** The daemon whose process has a connection open from a port. */
-  private findOwner(port: number): string {
-    const local = `:${port.toString(16).toUpperCase().padStart(4, '0')}`;
-    const line = readFileSync('/proc/net/tcp', 'utf8')
+  /** The daemon whose process has the connection open from a port to one of a relay. */
+  private findOwner(from: number, to: number): string {
+    const [local, remote] = [from, to].map(
+      (port) => `:${port.toString(16).toUpperCase().padStart(4, '0')}`,
+    );
+    // Two connections to different addresses may have the same port of their own.
+    const row = readFileSync('/proc/net/tcp', 'utf8')
       .split('\n')
-      .find((text) => text.trim().split(/\s+/)[1]?.endsWith(local));
-    const inode = `socket:[${line?.trim().split(/\s+/)[9] ?? ''}]`;
+      .map((line) => line.trim().split(/\s+/))
+      .find((cells) => cells[1]?.endsWith(local ?? '') && cells[2]?.endsWith(remote ?? ''));
+    const inode = `socket:[${row?.[9] ?? ''}]`;
     const owner = this.parties.find(({ pid }) => {
       const folder = `/proc/${pid() ?? 0}/fd`;
       try {
--- a/review/lib/store.ts
+++ b/review/lib/store.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 
 /** How the store treats the calls of one daemon. */
-export type StoreMode = 'up' | 'busy' | 'silent' | 'reset' | 'lost';
+export type StoreMode = 'up' | 'busy' | 'silent' | 'reset';
 
 interface Item {
   readonly Key: string;
@@ -69,8 +69,12 @@
         socketReset();
         return;
       }
+      // A watch that waits may be answered after the machine has been cut off.
+      const respondIfLinked = (reply: Reply): void => {
+        if (this.modes.get(name) !== 'silent') respond(reply);
+      };
       if (mode === 'busy') respond([503, {}]);
-      else this.handle(req, body, mode === 'lost' ? () => undefined : respond);
+      else this.handle(req, body, respondIfLinked);
     });
   }
 
