--- a/review/lib/links.ts
+++ b/review/lib/links.ts
@@ -5,6 +5,10 @@
 
 const HOST = '127.0.0.1';
 
+/** Loopback address as the table of connections has it, and the cell of the inode after the addresses. */
+const LOOPBACK = '0100007F';
+const INODE_CELL = 8;
+
 /** Whether no data passes between two parties, by their names. */
 export type IsCut = (a: string, b: string) => boolean;
 
@@ -119,15 +123,15 @@
 
   /** The daemon whose process has the connection open from a port to one of a relay. */
   private findOwner(from: number, to: number): string {
-    const [local, remote] = [from, to].map(
-      (port) => `:${port.toString(16).toUpperCase().padStart(4, '0')}`,
+    const [local = '', remote = ''] = [from, to].map(
+      (port) => `${LOOPBACK}:${port.toString(16).toUpperCase().padStart(4, '0')}`,
     );
     // Two connections to different addresses may have the same port of their own.
-    const row = readFileSync('/proc/net/tcp', 'utf8')
-      .split('\n')
-      .map((line) => line.trim().split(/\s+/))
-      .find((cells) => cells[1]?.endsWith(local ?? '') && cells[2]?.endsWith(remote ?? ''));
-    const inode = `socket:[${row?.[9] ?? ''}]`;
+    const table = readFileSync('/proc/net/tcp', 'utf8');
+    const at = table.indexOf(`${local} ${remote} `);
+    if (at === -1) return '';
+    const cells = table.slice(at, table.indexOf('\n', at)).trim().split(/\s+/);
+    const inode = `socket:[${cells[INODE_CELL] ?? ''}]`;
     const owner = this.parties.find(({ pid }) => {
       const folder = `/proc/${pid() ?? 0}/fd`;
       try {
