--- a/review/2/main.ts
+++ b/review/2/main.ts
@@ -20,6 +20,7 @@
 
 const cutRequests: { readonly daemon: string; readonly answer: Answer }[] = [];
 let answered = 0;
+const answers: Answer[] = [];
 let over = false;
 const isOver = (): boolean => over;
 
@@ -37,6 +38,7 @@
     }
     while (!session.isClosed && !isOver()) {
       const answer = await session.query(`READ k${number}`, STATEMENT_LIMIT_MS);
+      answers.push(answer);
       if (answer.kind === 'none') cutRequests.push({ daemon: daemon.name, answer });
       else answered += 1;
       // The pause to the next statement.
@@ -105,5 +107,6 @@
     .filter((line) => line.includes('"event":"fault"'));
   bed.note(`${daemon.name} logged ${faults.length} faults ${faults[0]?.slice(0, 260) ?? ''}`);
 }
+bed.noteAll(answers);
 bed.note(`${answered} requests answered, ${broken.length} LOST`);
 await bed.finish(answered === 0 ? 2 : broken.length > 0 ? 1 : 0);
--- a/review/lib/bed.ts
+++ b/review/lib/bed.ts
@@ -128,6 +128,19 @@
     this.note(`${who} sent ${id} ${shown}: ${kind} [${rows.join(' | ')}] ${detail} (${took} ms)`);
   }
 
+  /** Adds answers and runs in short lines, for cases with thousands of them. */
+  noteAll(answers: readonly Answer[]): void {
+    const since = (at: number): string => (at - this.startedAt).toFixed(0);
+    this.lines.push('sent (ms): id "text", answer, rows, digest or error, answered (ms)');
+    for (const { id, text, kind, rows, detail, sentAt, at } of answers)
+      this.lines.push(
+        `${since(sentAt)}: ${id} "${text}" ${kind} [${rows.join()}] ${detail} ${since(at)}`,
+      );
+    this.lines.push('run (ms): server, id "text", digest');
+    for (const { at, server, id, text, digest } of this.group.runs)
+      this.lines.push(`${since(at)}: ${server} ${id} "${text}" ${digest}`);
+  }
+
   /** Adds what the servers have run to record.txt. */
   noteRuns(): void {
     for (const { server, id, text, digest, row } of this.group.runs)
