fix(direct,platform): an error in one part of a tick ends neither the other parts nor the ticks

Cause: the next tick was set after the work of this one. An exception, here net.connect's RangeError for a port above 65535, skipped that, the process logged it and went on without a timer. Within a tick, the systems behind the one that throws did not run either. The pool's ticks ended the same way while no new lease was requested.

Change: the tick is repeated whatever happens in it; the engine runs its systems apart from each other, those over rows row by row, and dispatches each group on its own. An error is a log line and a count: `system_failed` with the system, or `fault`.

Evidence: on the commit before, the three tests of systems.spec fail; repeatTask.spec and poolOwner.spec "does not end its ticks" cover the timers.

--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -58,6 +58,7 @@
   recallTargets,
   resetAfterTimeJump,
 } from './targetList';
+import { runForEach, runSystem } from './systems';
 import { effectiveDrainAcceptMs, nextTickMs, runTick } from './tick';
 import { watchersOf } from './watchers';
 import { createWorld } from './world';
@@ -165,15 +166,19 @@
   const dispatchPending = (): void => {
     if (isDispatching) return;
     isDispatching = true;
-    try {
+    runSystem(world, 'quotas', () => {
       applyQuotaDecisions(world, hooks);
-      for (const group of world.groupsToDispatch) {
-        world.groupsToDispatch.delete(group);
-        dispatchGroup(world, hooks, group);
-      }
-    } finally {
-      isDispatching = false;
-    }
+    });
+    runForEach(world, 'dispatch', world.groupsToDispatch, (group) => {
+      world.groupsToDispatch.delete(group);
+      dispatchGroup(world, hooks, group);
+    });
+    isDispatching = false;
+  };
+  const reviewAllQuotas = (): void => {
+    runSystem(world, 'quotas', () => {
+      reviewQuotas(world);
+    });
   };
   const withConnection = (
     id: ConnectionId,
@@ -302,12 +307,12 @@
     },
     tick: () => {
       runTick(world, hooks);
-      reviewQuotas(world);
+      reviewAllQuotas();
       dispatchPending();
     },
     nextTickMs: () => nextTickMs(world),
     wake: () => {
-      reviewQuotas(world);
+      reviewAllQuotas();
       for (const group of world.groups.values())
         if (group.queue.length > 0) world.groupsToDispatch.add(group);
       dispatchPending();
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -7,8 +7,28 @@
 /** What gave the position that a read was sent with: a sample, or a commit of its session. */
 export type BoundBasis = 'sample' | 'session' | 'none';
 
+/** A part of the engine's timed work and dispatch, as named in the log. */
+export type SystemName =
+  | 'connections'
+  | 'requests'
+  | 'peers'
+  | 'lease'
+  | 'sampling'
+  | 'groups'
+  | 'targets'
+  | 'transactions'
+  | 'drain'
+  | 'quotas'
+  | 'dispatch';
+
 /** An event of the engine for logs and metrics; the field names are those of the log lines. */
 export type DirectLogEvent =
+  | {
+      /** An error of rosedeck's own in a part of the engine; the other parts went on. */
+      readonly type: 'system_failed';
+      readonly system: SystemName;
+      readonly detail: string;
+    }
   | {
       readonly type: 'request_done';
       readonly request: RequestId;
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -10,7 +10,8 @@
 import { keepsOwnConnection } from './samplers';
 import { runSampling } from './sampling';
 import { closeSession, rollBackTransaction } from './sessions';
-import type { GroupRow, RequestRow, TargetRow, World } from './tables';
+import { runForEach, runSystem } from './systems';
+import type { GroupRow, RequestRow, SessionRow, TargetRow, World } from './tables';
 import { removeTarget } from './targetList';
 
 /** Sessions closed per tick while draining, so that their callers do not return all at once. */
@@ -69,20 +70,39 @@
 /** Runs the timed systems once. */
 export function runTick(world: World, hooks: ExecutionHooks): void {
   const now = world.clock.now();
-  reapConnections(world, now);
-  for (const row of [...world.running]) reviewRunning(world, hooks, row, now);
-  expirePeers(world, now);
-  trackLease(world, now);
-  runSampling(world, now);
-  for (const group of world.groups.values()) {
+  runSystem(world, 'connections', () => {
+    reapConnections(world, now);
+  });
+  runForEach(world, 'requests', [...world.running], (row) => {
+    reviewRunning(world, hooks, row, now);
+  });
+  runSystem(world, 'peers', () => {
+    expirePeers(world, now);
+  });
+  runSystem(world, 'lease', () => {
+    trackLease(world, now);
+  });
+  runSystem(world, 'sampling', () => {
+    runSampling(world, now);
+  });
+  runForEach(world, 'groups', world.groups.values(), (group) => {
     runFailover(world, group, now);
+  });
+  for (const group of world.groups.values()) {
     if (group.queue.length === 0) continue;
     group.lastShortageAt = now;
     world.groupsToDispatch.add(group);
   }
-  for (const target of [...world.targets.values()]) reviewTarget(world, target, now);
-  reviewTransactions(world, now);
-  if (world.drainingSince !== undefined) closeIdleSessions(world, now);
+  runForEach(world, 'targets', [...world.targets.values()], (target) => {
+    reviewTarget(world, target, now);
+  });
+  runForEach(world, 'transactions', world.sessions.values(), (session) => {
+    reviewTransaction(world, session, now);
+  });
+  if (world.drainingSince === undefined) return;
+  runSystem(world, 'drain', () => {
+    closeIdleSessions(world, now);
+  });
 }
 
 function reviewRunning(world: World, hooks: ExecutionHooks, row: RequestRow, now: Millis): void {
@@ -138,27 +158,25 @@
     openConnection(world, target, now);
 }
 
-/** Ends transactions that are idle for too long or exceed their share of a drain. */
-function reviewTransactions(world: World, now: Millis): void {
+/** Ends a transaction that is idle for too long or exceeds its share of a drain. */
+function reviewTransaction(world: World, session: SessionRow, now: Millis): void {
+  const { transaction } = session;
+  if (!transaction || transaction.lostReason !== undefined || session.request) return;
   const { settings } = world;
   const idleMs = world.config?.transactionIdleMs;
   const drainMs = world.drainingSince === undefined ? 0 : now - world.drainingSince;
-  for (const session of world.sessions.values()) {
-    const { transaction } = session;
-    if (!transaction || transaction.lostReason !== undefined || session.request) continue;
-    const isIdle = idleMs !== undefined && now - transaction.lastUsedAt > idleMs;
-    if (!isIdle && drainMs < settings.graceMs * settings.drainTransactionShare) continue;
-    transaction.lostReason = isIdle
-      ? 'the transaction was idle for too long'
-      : 'the daemon is shutting down';
-    rollBackTransaction(world, transaction);
-    world.io.log({
-      type: 'transaction_ended',
-      session: session.id,
-      reason: transaction.lostReason,
-      idleMs: Math.round(now - transaction.lastUsedAt),
-    });
-  }
+  const isIdle = idleMs !== undefined && now - transaction.lastUsedAt > idleMs;
+  if (!isIdle && drainMs < settings.graceMs * settings.drainTransactionShare) return;
+  transaction.lostReason = isIdle
+    ? 'the transaction was idle for too long'
+    : 'the daemon is shutting down';
+  rollBackTransaction(world, transaction);
+  world.io.log({
+    type: 'transaction_ended',
+    session: session.id,
+    reason: transaction.lostReason,
+    idleMs: Math.round(now - transaction.lastUsedAt),
+  });
 }
 
 /** Time of a drain in which new sessions are accepted; a short grace period shortens it. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,6 @@
 /** Identifiers, log positions, clocks and error kinds that all packages use. */
 export * from './clock';
+export * from './describeError';
 export * from './errorKinds';
 export * from './ids';
 export * from './position';
