feat(direct): the log names connection and prepared statement of a request

With the logs until now, a prepared statement that ran in another shape could not be told from one whose reply was that of another operation: neither the connection nor the prepared statement was named, and a connection that was closed for replies out of place left no line.

request_done has `connection` and, for an EXECUTE, `prepared` (a hash of access and shape; no text of callers). replies_mismatched is written when a connection is closed because its replies do not match what was sent. A fault that follows the shape shows one hash again and again; one that follows a lost reply shows one connection.

--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -196,6 +196,13 @@
   now: Millis,
 ): void {
   if (!removeConnection(world, row)) return;
+  if (reason === 'protocol')
+    world.io.log({
+      type: 'replies_mismatched',
+      target: row.target.listed.id,
+      connection: row.id,
+      op: row.pending[0]?.op,
+    });
   if (row.lease) recordLeaseLoss(world, row, row.lease, reason, now);
   else recordLoss(world, row, reason, now);
   if (row.state !== 'idle') row.onLost?.(reason);
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -83,6 +83,7 @@
   connection.statementDeadlineAt = row.deadlineAt;
   row.lastSentAt = world.clock.now();
   row.target = connection.target.listed.id;
+  row.connection = connection.id;
   world.running.add(row);
   connection.onLost = (reason) => {
     handleLoss(world, hooks, row, connection, reason);
@@ -184,7 +185,8 @@
     connection.variables.set(name, value);
   }
   if (row.prepare && !connection.prepared.has(row.prepare.name)) {
-    add({ op: 'prepare', ...row.prepare });
+    const { name, access, shape } = row.prepare;
+    add({ op: 'prepare', name, access, shape });
     connection.prepared.add(row.prepare.name);
   }
   return steps;
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -1,7 +1,7 @@
 import type { GroupId, InstanceId, Millis, RequestId, SessionId, TargetId } from '@rosedeck/shared';
 import type { ReadPolicy } from './configuration';
 import type { RefusalReason } from './quotas/tenantRows';
-import type { LossReason } from './statements';
+import type { LossReason, TargetOp } from './statements';
 import type { TenantName } from './tenants';
 
 /** What gave the position that a read was sent with: a sample, or a commit of its session. */
@@ -35,6 +35,10 @@
       readonly session: SessionId;
       readonly route: string;
       readonly target?: TargetId;
+      /** Connection of the last try, numbered by this daemon. */
+      readonly connection?: number;
+      /** Of an EXECUTE: hash of the prepared statement's access and shape. */
+      readonly prepared?: string;
       /** `ok`, or else the error kind or the target's reply code. */
       readonly outcome: string;
       readonly waitedMs: Millis;
@@ -68,6 +72,14 @@
       readonly reason: string;
       readonly idleMs: Millis;
     }
+  | {
+      /** A connection was closed because its replies do not match what was sent. */
+      readonly type: 'replies_mismatched';
+      readonly target: TargetId;
+      readonly connection: number;
+      /** Oldest operation without a reply. */
+      readonly op?: TargetOp['op'];
+    }
   | {
       readonly type: 'target_lost';
       readonly target: TargetId;
--- a/packages/direct/src/sessions.ts
+++ b/packages/direct/src/sessions.ts
@@ -1,5 +1,6 @@
 import { createFailure } from '@rosedeck/shared';
 import type { ErrorKind, Failure, RequestId, SessionId } from '@rosedeck/shared';
+import murmurhash from 'murmurhash';
 import { dropConnection } from './connections';
 import { executeInTransaction } from './execution';
 import { withdrawLeases } from './leases';
@@ -9,7 +10,7 @@
 import { createRequest, dequeueRequest, enqueueRequest } from './requests';
 import type { RequestSpec } from './requests';
 import type { Route } from './configuration';
-import type { Access, CallerAnswer, CallerStatement } from './statements';
+import type { Access, CallerAnswer, CallerStatement, PreparedStatement } from './statements';
 import type { RequestRow, SessionRow, TransactionRow, World } from './tables';
 import { digestKey, resolveIdentity } from './tenants';
 import type { Identity, TenantName } from './tenants';
@@ -176,7 +177,8 @@
     return LOCAL_OK;
   }
   if (kind === 'prepare') {
-    session.prepared.set(statement.name, { access: statement.access, shape: statement.shape });
+    const { name, access, shape } = statement;
+    session.prepared.set(name, createPrepared(access, shape));
     return LOCAL_OK;
   }
   if (kind === 'close') {
@@ -300,17 +302,11 @@
   transaction: TransactionRow | undefined,
 ): RequestSpec {
   if (statement.kind === 'execute') {
-    const known = session.prepared.get(statement.name);
-    const access = known?.access ?? 'read';
-    const shape = known?.shape ?? '';
+    const known = session.prepared.get(statement.name) ?? createPrepared('read', '');
+    const { access, shape } = known;
     const name = preparedName(access, shape);
-    return {
-      id,
-      access,
-      text: `EXECUTE ${name} ${statement.args}`,
-      prepare: { name, access, shape },
-      transaction,
-    };
+    const text = `EXECUTE ${name} ${statement.args}`;
+    return { id, access, text, prepare: { ...known, name }, transaction };
   }
   const access =
     statement.kind === 'commit' || statement.kind === 'write' ? statement.kind : 'read';
@@ -318,6 +314,10 @@
   return { id, access, text, transaction };
 }
 
+function createPrepared(access: Access, shape: string): PreparedStatement {
+  return { access, shape, hash: murmurhash.v3(`${access} ${shape}`).toString(36) };
+}
+
 /** One name per statement shape, so that sessions share the prepared statements of a connection. */
 function preparedName(access: Access, shape: string): string {
   return `${access}_${shape}`;
@@ -341,6 +341,8 @@
     session: session.id,
     route: row.route.name,
     target: row.target,
+    connection: row.connection,
+    prepared: row.prepare?.hash,
     outcome: answer.kind === 'done' ? 'ok' : (answer.targetCode ?? answer.failure.kind),
     waitedMs: Math.round((row.firstSentAt ?? now) - row.arrivedAt),
     tookMs: Math.round(now - row.arrivedAt),
--- a/packages/direct/src/statements.ts
+++ b/packages/direct/src/statements.ts
@@ -3,6 +3,15 @@
 /** Whether a statement reads or writes. */
 export type Access = 'read' | 'write';
 
+/** What the name of a prepared statement stands for. */
+export interface PreparedStatement {
+  readonly access: Access;
+  /** May hold any characters but CR LF, blanks included. */
+  readonly shape: string;
+  /** Hash of both, for the log. */
+  readonly hash: string;
+}
+
 /** One statement of a caller, independent of the wire format. */
 export type CallerStatement =
   | { readonly kind: 'begin'; readonly readOnly: boolean }
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -23,6 +23,7 @@
 import type {
   Access,
   LossReason,
+  PreparedStatement,
   SessionState,
   TargetOp,
   TargetReply,
@@ -270,7 +271,7 @@
   /** Digest of the API key with which the caller connected. */
   readonly key?: KeyDigest;
   readonly variables: Map<string, string>;
-  readonly prepared: Map<string, { readonly access: Access; readonly shape: string }>;
+  readonly prepared: Map<string, PreparedStatement>;
   transaction?: TransactionRow;
   state: SessionState;
   /** The request without an answer yet; at most one at a time. */
@@ -303,7 +304,7 @@
   readonly access: Access | 'commit';
   /** Text for the target; an EXECUTE names the daemon's own prepared statement. */
   readonly text: string;
-  readonly prepare?: { readonly name: string; readonly access: Access; readonly shape: string };
+  readonly prepare?: PreparedStatement & { readonly name: string };
   readonly transaction?: TransactionRow;
   readonly tenant?: TenantName;
   /** Whether only the primary can serve it; a read without a usable sample needs it too. */
@@ -329,6 +330,8 @@
   notBefore: Millis;
   lastError: string;
   target?: TargetId;
+  /** Connection of the last try. */
+  connection?: ConnectionId;
   /** Set once a lease was requested. */
   leaseWait?: LeaseWait;
 }
