fix(direct): prepared statements get names of their own on each connection

What callers saw: a prepared statement whose shape holds a blank ran in another shape and with other data, in a transaction and outside of one, also over leases (UNASKED). Afterwards, a plain shape that shares the first word ran in the other's shape on that connection (PINNED).

Cause: the name on connections to targets was made from the shape, `write_${shape}`, and stood in the name field of `PARSE name READ|WRITE shape`, which is one word. For the shape `q2 WRITE df` the target read the name `write_q2` and the shape `df WRITE q2 WRITE df`, which is the shape in the users' report; an EXECUTE of it ran with the item `WRITE`. The same name made messages grow by the length of the shape, past the limit of 1 MiB.

Each connection now gives its prepared statements names of one character and finds them by access and shape. Nothing of a caller's text is in a name any more, and a message to a target is never longer than the caller's. The names are few, so that the least recently used statement is closed for a new one; before, names and shapes on a connection grew without a bound. After NOSTMT, the connection is discarded before its next use, since it is unknown which names are left.

--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -1,6 +1,6 @@
 import { covers } from '@rosedeck/shared';
 import type { Position } from '@rosedeck/shared';
-import type { ListedTarget, TargetOp, TargetReply } from '../src/index';
+import type { Access, ListedTarget, TargetOp, TargetReply } from '../src/index';
 
 /** A fake target that handles single operations. */
 export interface FakeTarget {
@@ -19,6 +19,8 @@
   ignoresStatus: boolean;
   /** Time that a reply to `status` takes. */
   statusMs: number;
+  /** Forgets the prepared statements of the connection of the next EXECUTE. */
+  forgetsPrepared: boolean;
   /** Refuses statements with `busy`. */
   repliesBusy: boolean;
   runMs: number;
@@ -28,7 +30,13 @@
   readonly waiting: (() => void)[];
   connectionLimit: number;
   /** Statements that ran, in order. */
-  readonly executed: { readonly id: string; readonly text: string; readonly at: number }[];
+  readonly executed: {
+    readonly id: string;
+    readonly text: string;
+    /** Shape of the prepared statement that an EXECUTE ran. */
+    readonly shape?: string;
+    readonly at: number;
+  }[];
 }
 
 /** A connection to a fake target. */
@@ -38,7 +46,8 @@
   readWrite: boolean;
   wrote: boolean;
   readonly variables: Map<string, string>;
-  readonly prepared: Set<string>;
+  /** What each prepared name stands for. */
+  readonly prepared: Map<string, { readonly access: Access; readonly shape: string }>;
   /** Operations that wait; they run one after the other. */
   pending: (() => void)[];
   working: boolean;
@@ -57,6 +66,7 @@
     dropsReplies: false,
     ignoresStatus: false,
     statusMs: 0,
+    forgetsPrepared: false,
     repliesBusy: false,
     runMs: 20,
     slots: 3,
@@ -120,7 +130,8 @@
     connection.prepared.clear();
   }
   if (op.op === 'set') connection.variables.set(op.name, op.value);
-  if (op.op === 'prepare') connection.prepared.add(op.name);
+  if (op.op === 'prepare') connection.prepared.set(op.name, op);
+  if (op.op === 'close') connection.prepared.delete(op.name);
   if (op.op === 'stepDown' && target.term < op.term) target.role = 'replica';
   if (op.op === 'status' && target.ignoresStatus) return;
   if (op.op === 'status' && target.statusMs > 0) {
@@ -153,7 +164,7 @@
 function failedReply(
   target: FakeTarget,
   connection: FakeConnection,
-  code: 'read_only' | 'behind' | 'busy',
+  code: 'read_only' | 'behind' | 'busy' | 'unknown_prepared',
 ): TargetReply {
   const { inTransaction } = connection;
   return { kind: 'failed', code, detail: '', inTransaction, position: { ...target.applied } };
@@ -174,7 +185,17 @@
     return;
   }
   const isCommit = op.text === 'COMMIT';
-  const isWrite = op.text.startsWith('WRITE') || op.text.startsWith('EXECUTE write');
+  const [verb, name = ''] = op.text.split(' ', 2);
+  if (verb === 'EXECUTE' && target.forgetsPrepared) {
+    target.forgetsPrepared = false;
+    connection.prepared.clear();
+  }
+  const prepared = verb === 'EXECUTE' ? connection.prepared.get(name) : undefined;
+  if (verb === 'EXECUTE' && !prepared) {
+    reply(failedReply(target, connection, 'unknown_prepared'));
+    return;
+  }
+  const isWrite = verb === 'WRITE' || prepared?.access === 'write';
   const needsPrimary = connection.inTransaction ? connection.readWrite : isWrite;
   if (isBehind || (needsPrimary && target.role !== 'primary')) {
     reply(failedReply(target, connection, isBehind ? 'behind' : 'read_only'));
@@ -183,7 +204,7 @@
   const finish = (): void => {
     target.busySlots -= 1;
     target.waiting.shift()?.();
-    target.executed.push({ id: op.id, text: op.text, at: now() });
+    target.executed.push({ id: op.id, text: op.text, shape: prepared?.shape, at: now() });
     if (connection.inTransaction && isWrite) connection.wrote = true;
     if ((isWrite && !connection.inTransaction) || (isCommit && connection.wrote)) {
       target.received = { term: target.term, index: target.received.index + 1 };
--- a/packages/direct/__tests__/prepared.spec.ts
+++ b/packages/direct/__tests__/prepared.spec.ts
@@ -1,5 +1,8 @@
+import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { createPreparedNames } from '../src/preparedNames';
+import type { PreparedStatement } from '../src/index';
 import { createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
@@ -30,4 +33,48 @@
   assert.is(logged[0]?.prepared, logged[2]?.prepared);
 });
 
+test('a statement that its target has forgotten is prepared again', () => {
+  const rig = createRig();
+  rig.run(300);
+  const session = openSession(rig, 'c', 'bookings');
+  prepare(rig, session, 'q2 WRITE df');
+  execute(rig, session);
+  const [primary] = rig.targets;
+  if (primary) primary.forgetsPrepared = true;
+  const request = execute(rig, session);
+  assert.is(rig.answerOf(request)?.answer.kind, 'done');
+  const run = primary?.executed.find(({ id }) => id === request);
+  assert.is(run?.shape, 'q2 WRITE df');
+});
+
+test('names of one connection are distinct and short, and old ones are closed', () => {
+  const shape = fc.oneof(
+    fc.nat(90).map((number) => `q${number}`),
+    fc.constantFrom('q1 READ q1', 'READ q1', '', ' ', 'x'.repeat(40_000), 'y'.repeat(1 << 20)),
+  );
+  const access = fc.constantFrom('read' as const, 'write' as const);
+  const steps = fc.array(fc.record({ access, shape }), { maxLength: 300 });
+  fc.assert(
+    fc.property(steps, (statements) => {
+      const names = createPreparedNames();
+      const known = new Map<string, PreparedStatement>();
+      for (const one of statements) {
+        const statement = { ...one, hash: '' };
+        const found = names.find(statement);
+        if (found !== undefined) {
+          const other = known.get(found);
+          assert.ok(other?.access === one.access && other.shape === one.shape);
+          continue;
+        }
+        const { name, closed } = names.assign(statement);
+        for (const old of closed) assert.ok(known.delete(old));
+        assert.is(name.length, 1);
+        assert.not.ok(known.has(name));
+        known.set(name, statement);
+      }
+    }),
+    { seed: 45, numRuns: 100 },
+  );
+});
+
 test.run();
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -183,7 +183,7 @@
       readWrite: false,
       wrote: false,
       variables: new Map(),
-      prepared: new Set(),
+      prepared: new Map(),
       pending: [],
       working: false,
     });
--- a/packages/direct/src/connectionRows.ts
+++ b/packages/direct/src/connectionRows.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '@rosedeck/shared';
+import { createPreparedNames } from './preparedNames';
 import type { ConnectionRow, Lease, TargetRow, World } from './tables';
 import type { TenantName } from './tenants';
 
@@ -25,7 +26,8 @@
     statementDeadlineAt: now,
     pending: [],
     variables: new Map(),
-    prepared: new Set(),
+    prepared: createPreparedNames(),
+    mustDiscard: false,
   };
   world.connections.set(id, row);
   return row;
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -174,24 +174,35 @@
       },
     ]);
   };
-  if ([...connection.variables.keys()].some((name) => !wanted.has(name))) {
+  const hasOtherVariables = [...connection.variables.keys()].some((name) => !wanted.has(name));
+  if (connection.mustDiscard || hasOtherVariables) {
     add({ op: 'discard' });
     connection.variables.clear();
     connection.prepared.clear();
+    connection.mustDiscard = false;
   }
   for (const [name, value] of wanted) {
     if (connection.variables.get(name) === value) continue;
     add({ op: 'set', name, value });
     connection.variables.set(name, value);
   }
-  if (row.prepare && !connection.prepared.has(row.prepare.name)) {
-    const { name, access, shape } = row.prepare;
-    add({ op: 'prepare', name, access, shape });
-    connection.prepared.add(row.prepare.name);
+  const { prepared } = row;
+  if (prepared && connection.prepared.find(prepared) === undefined) {
+    const { name, closed } = connection.prepared.assign(prepared);
+    for (const old of closed) add({ op: 'close', name: old });
+    add({ op: 'prepare', name, access: prepared.access, shape: prepared.shape });
   }
   return steps;
 }
 
+/** Text of the statement on a connection on which `setupSteps` has prepared it. */
+function textOn(connection: ConnectionRow, { text, prepared }: RequestRow): string {
+  if (!prepared) return text;
+  const name = connection.prepared.find(prepared);
+  if (name === undefined) throw new Error('the statement is not prepared on its connection');
+  return `EXECUTE ${name} ${text}`;
+}
+
 /** The operation that runs the statement; `isWrapped`: as a read in a transaction of its own. */
 function runStep(
   world: World,
@@ -205,7 +216,7 @@
   row.firstSentAt ??= now;
   row.unansweredTries += 1;
   return [
-    { op: 'run', id: row.id, text: row.text, after },
+    { op: 'run', id: row.id, text: textOn(connection, row), after },
     (reply, sent) => {
       applyRunReply(world, hooks, row, connection, reply, sent, isWrapped);
     },
--- a/packages/direct/src/requestFailures.ts
+++ b/packages/direct/src/requestFailures.ts
@@ -48,7 +48,7 @@
   row.running.delete(connection);
   if (reply.code === 'read_only') recordNotPrimary(world, target, sent);
   if (reply.code === 'behind') recordReplyPosition(target, reply, now);
-  if (reply.code === 'unknown_prepared') connection.prepared.clear();
+  if (reply.code === 'unknown_prepared') connection.mustDiscard = true;
   const { transaction } = row;
   const isPinned = transaction?.connection === connection;
   if (isPinned && reply.code === 'busy' && reply.inTransaction && row.stage !== 'done') {
--- a/packages/direct/src/requests.ts
+++ b/packages/direct/src/requests.ts
@@ -18,7 +18,7 @@
   readonly id: RequestId;
   readonly access: Access | 'commit';
   readonly text: string;
-  readonly prepare?: RequestRow['prepare'];
+  readonly prepared?: RequestRow['prepared'];
   readonly transaction?: TransactionRow;
   /** Tenant on whose behalf the statement runs, if any. */
   readonly tenant?: TenantName;
--- a/packages/direct/src/sessions.ts
+++ b/packages/direct/src/sessions.ts
@@ -303,10 +303,7 @@
 ): RequestSpec {
   if (statement.kind === 'execute') {
     const known = session.prepared.get(statement.name) ?? createPrepared('read', '');
-    const { access, shape } = known;
-    const name = preparedName(access, shape);
-    const text = `EXECUTE ${name} ${statement.args}`;
-    return { id, access, text, prepare: { ...known, name }, transaction };
+    return { id, access: known.access, text: statement.args, prepared: known, transaction };
   }
   const access =
     statement.kind === 'commit' || statement.kind === 'write' ? statement.kind : 'read';
@@ -318,11 +315,6 @@
   return { access, shape, hash: murmurhash.v3(`${access} ${shape}`).toString(36) };
 }
 
-/** One name per statement shape, so that sessions share the prepared statements of a connection. */
-function preparedName(access: Access, shape: string): string {
-  return `${access}_${shape}`;
-}
-
 /** Ends a request: updates its session, answers the caller and logs the outcome. */
 export function finishRequest(world: World, row: RequestRow, answer: CallerAnswer): void {
   if (row.stage === 'done') return;
@@ -342,7 +334,7 @@
     route: row.route.name,
     target: row.target,
     connection: row.connection,
-    prepared: row.prepare?.hash,
+    prepared: row.prepared?.hash,
     outcome: answer.kind === 'done' ? 'ok' : (answer.targetCode ?? answer.failure.kind),
     waitedMs: Math.round((row.firstSentAt ?? now) - row.arrivedAt),
     tookMs: Math.round(now - row.arrivedAt),
--- a/packages/direct/src/statements.ts
+++ b/packages/direct/src/statements.ts
@@ -45,6 +45,7 @@
       readonly access: Access;
       readonly shape: string;
     }
+  | { readonly op: 'close'; readonly name: string }
   | {
       readonly op: 'run';
       readonly id: RequestId;
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -20,6 +20,7 @@
 import type { Quotas } from './quotas/quotas';
 import type { DirectSettings } from './settings';
 import type { KeyDigest, TenantName } from './tenants';
+import type { PreparedNames } from './preparedNames';
 import type {
   Access,
   LossReason,
@@ -87,8 +88,9 @@
   readonly pending: SentOp[];
   /** Session variables that are set on the connection. */
   readonly variables: Map<string, string>;
-  /** Prepared statements on the connection. */
-  readonly prepared: Set<string>;
+  readonly prepared: PreparedNames;
+  /** What the target has set and prepared on the connection is not known. */
+  mustDiscard: boolean;
   /** Called when the connection ends while work uses it. */
   onLost?: (reason: LossReason) => void;
 }
@@ -302,9 +304,9 @@
   readonly route: Route;
   readonly group: GroupRow;
   readonly access: Access | 'commit';
-  /** Text for the target; an EXECUTE names the daemon's own prepared statement. */
+  /** Text for the target; with `prepared`, what follows the name in its EXECUTE. */
   readonly text: string;
-  readonly prepare?: PreparedStatement & { readonly name: string };
+  readonly prepared?: PreparedStatement;
   readonly transaction?: TransactionRow;
   readonly tenant?: TenantName;
   /** Whether only the primary can serve it; a read without a usable sample needs it too. */
