fix(direct): the reply to another operation is no success of a statement

Cause: replies carry no id and were given to the oldest operation without a reply, whatever they were. One lost reply shifts all that follow.

A success of a statement has the target's digest, that of every other operation "-", and a status has its row. A reply that cannot be that of its operation ends the connection, and the request is handled as after any lost reply. A lost row of a reply that is otherwise whole cannot be told.

--- a/packages/direct/__tests__/loggedTargets.ts
+++ b/packages/direct/__tests__/loggedTargets.ts
@@ -143,10 +143,11 @@
   append: Append,
 ): OpOutcome {
   const { target } = session;
+  const digest = op.op === 'run' ? `${target.id}.${op.id}` : '-';
   const leads = (): boolean =>
     target.role === 'primary' && (session.transaction?.term ?? target.term) === target.term;
   const done = (seen?: readonly Entry[], entry?: Entry): OpOutcome => ({
-    reply: { ...replyHead(session), kind: 'done', rows: [], digest: '-' },
+    reply: { ...replyHead(session), kind: 'done', rows: [], digest },
     seen,
     entry,
   });
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -6,6 +6,7 @@
 import { connectionsOfOthers, othersInFlight } from './otherLoads';
 import { acceptLease, forgetLease, recordLeaseLoss } from './leaseTable';
 import { isSampler, isScarce, keepsOwnConnection } from './samplers';
+import { NO_DIGEST } from './statements';
 import type { LossReason, TargetOp, TargetReply } from './statements';
 import type { ConnectionRow, ReplyHandler, TargetRow, World } from './tables';
 import type { TenantName } from './tenants';
@@ -180,6 +181,12 @@
     loseConnection(world, row, 'protocol', now);
     return;
   }
+  if (!canAnswer(reply, sent.op)) {
+    // The reply to this operation was lost; nothing tells which later one has been answered.
+    row.pending.unshift(sent);
+    loseConnection(world, row, 'protocol', now);
+    return;
+  }
   row.lastReplyAt = now;
   // A reply over a lease says nothing about a connection that this daemon keeps for probes.
   if (!row.lease || !keepsOwnConnection(world, row.target)) recordContact(world, row.target, now);
@@ -188,6 +195,13 @@
   sent.handle(reply, sent);
 }
 
+/** False for a success that is certainly not the reply to an operation, as after a lost reply. */
+function canAnswer(reply: TargetReply, op: TargetOp['op']): boolean {
+  if (reply.kind === 'failed') return true;
+  if (op === 'status' || op === 'stepDown') return reply.status !== undefined;
+  return (op === 'run') === (reply.digest !== NO_DIGEST);
+}
+
 /** Closes a connection that broke or whose state is unclear, and records the loss. */
 export function loseConnection(
   world: World,
--- a/packages/direct/src/sessions.ts
+++ b/packages/direct/src/sessions.ts
@@ -10,12 +10,13 @@
 import { createRequest, dequeueRequest, enqueueRequest } from './requests';
 import type { RequestSpec } from './requests';
 import type { Route } from './configuration';
+import { NO_DIGEST } from './statements';
 import type { Access, CallerAnswer, CallerStatement, PreparedStatement } from './statements';
 import type { RequestRow, SessionRow, TransactionRow, World } from './tables';
 import { digestKey, resolveIdentity } from './tenants';
 import type { Identity, TenantName } from './tenants';
 
-const LOCAL_OK: CallerAnswer = { kind: 'done', rows: [], digest: '-' };
+const LOCAL_OK: CallerAnswer = { kind: 'done', rows: [], digest: NO_DIGEST };
 
 /**
  * Opens a caller's session; `key` is the API key with which it connects, if any. Returns the reason of
--- a/packages/direct/src/statements.ts
+++ b/packages/direct/src/statements.ts
@@ -67,12 +67,15 @@
   | 'malformed'
   | 'other';
 
+/** Digest of a success by which no statement of a caller has run. */
+export const NO_DIGEST = '-';
+
 /** The reply of a target to one operation. */
 export type TargetReply =
   | {
       readonly kind: 'done';
       readonly rows: readonly string[];
-      /** The target's proof that it ran the statement. */
+      /** The target's proof that it ran the statement; `NO_DIGEST` for all operations but `run`. */
       readonly digest: string;
       readonly inTransaction: boolean;
       /** Position that the target has applied; absent when the reply carries none. */
