fix(platform): a daemon whose name is not ASCII can order promotions

What callers saw: where the platform names its daemons beyond Latin-1, no primary is ever replaced: each order ends as unknown before it is sent.

Cause: the name goes into a header as it is, and the HTTP client refuses a character beyond Latin-1. Besides, it encodes the headers as UTF-8 where the body is a string, and as Latin-1 elsewhere.

No deployment that is known has such names.

--- a/packages/clients/src/httpJson.ts
+++ b/packages/clients/src/httpJson.ts
@@ -39,12 +39,13 @@
   return {
     send: (method, path, body, timeoutMs) =>
       new Promise((resolve, reject) => {
-        const payload = body === undefined ? undefined : JSON.stringify(body);
+        // Before a body that is a string, Node.js sends the headers as UTF-8, else as Latin-1.
+        const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
         const headers = payload
           ? {
               ...options.headers,
               'content-type': 'application/json',
-              'content-length': Buffer.byteLength(payload),
+              'content-length': payload.length,
             }
           : options.headers;
         const req = http.request({ host, port, path, method, agent, headers }, (res) => {
