fix(direct): the position that a read needs goes with a BEGIN where its message has no room for it

A read of nearly 1 MiB on a route with a staleness bound got `SYNCAFTER TERM.NUMBER` in front of its text, and its message grew past the limit of 1 MiB, at which targets need not read it.

Such a read runs in a transaction of its own, whose BEGIN READ carries the position; its message is then no longer than the caller's. Shorter reads are sent as before, in one message.

--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -18,9 +18,13 @@
 import type { ConnectionRow, RequestRow, SentOp, TargetRow, World } from './tables';
 
 /**
- * Runs a request on a connection. A read that must see every commit is wrapped in a transaction of
- * its own: a target that was just demoted would still serve a single read.
+ * Transaction of its own that a read is wrapped in. `lead`: the read must see every commit, and a target
+ * that was just demoted would still serve a single read. `position`: its message has no room for the
+ * position that the target must have applied, which goes with the BEGIN.
  */
+type Wrapping = 'lead' | 'position' | undefined;
+
+/** Runs a request on a connection. */
 export function executeRequest(
   world: World,
   hooks: ExecutionHooks,
@@ -31,8 +35,9 @@
   startTry(world, hooks, row, connection);
   logReadBound(world, row, connection.target, after);
   row.tried.add(connection.target.listed.id);
-  if (row.transaction || (row.needsPrimary && row.access === 'read')) {
-    beginThenRun(world, hooks, row, connection, after);
+  const wrapping = wrappingOf(world, row, after);
+  if (row.transaction || wrapping) {
+    beginThenRun(world, hooks, row, connection, after, wrapping);
     return;
   }
   const needsValidation =
@@ -43,10 +48,17 @@
   }
   sendOps(world, connection, [
     ...setupSteps(world, row, connection),
-    runStep(world, hooks, row, connection, after, false),
+    runStep(world, hooks, row, connection, after),
   ]);
 }
 
+function wrappingOf(world: World, row: RequestRow, after: Position | undefined): Wrapping {
+  if (row.transaction || row.access !== 'read') return undefined;
+  if (row.needsPrimary) return 'lead';
+  const length = row.id.length + row.text.length;
+  return after && length > world.settings.maxPositionedLength ? 'position' : undefined;
+}
+
 /** Runs a later statement of an open transaction. */
 export function executeInTransaction(
   world: World,
@@ -61,7 +73,7 @@
   startTry(world, hooks, row, connection);
   sendOps(world, connection, [
     ...setupSteps(world, row, connection),
-    runStep(world, hooks, row, connection, undefined, false),
+    runStep(world, hooks, row, connection, undefined),
   ]);
 }
 
@@ -116,7 +128,7 @@
       }
       sendOps(world, connection, [
         ...setupSteps(world, row, connection),
-        runStep(world, hooks, row, connection, undefined, false),
+        runStep(world, hooks, row, connection, undefined),
       ]);
     },
   ];
@@ -129,9 +141,10 @@
   row: RequestRow,
   connection: ConnectionRow,
   after: Position | undefined,
+  wrapping: Wrapping,
 ): void {
   const { transaction } = row;
-  const readOnly = transaction !== undefined && !row.needsPrimary;
+  const readOnly = wrapping !== 'lead' && !row.needsPrimary;
   const begin: Step = [
     { op: 'begin', readOnly, after: readOnly ? after : undefined },
     (reply, sent) => {
@@ -150,9 +163,9 @@
         world,
         connection,
         transaction
-          ? [runStep(world, hooks, row, connection, undefined, false)]
+          ? [runStep(world, hooks, row, connection, undefined)]
           : [
-              runStep(world, hooks, row, connection, undefined, true),
+              runStep(world, hooks, row, connection, undefined, wrapping),
               rollbackStep(world, connection),
             ],
       );
@@ -203,14 +216,14 @@
   return `EXECUTE ${name} ${text}`;
 }
 
-/** The operation that runs the statement; `isWrapped`: as a read in a transaction of its own. */
+/** The operation that runs the statement. */
 function runStep(
   world: World,
   hooks: ExecutionHooks,
   row: RequestRow,
   connection: ConnectionRow,
   after: Position | undefined,
-  isWrapped: boolean,
+  wrapping?: Wrapping,
 ): Step {
   const now = world.clock.now();
   row.firstSentAt ??= now;
@@ -218,16 +231,16 @@
   return [
     { op: 'run', id: row.id, text: textOn(connection, row), after },
     (reply, sent) => {
-      applyRunReply(world, hooks, row, connection, reply, sent, isWrapped);
+      applyRunReply(world, hooks, row, connection, reply, sent, wrapping);
     },
   ];
 }
 
 /** True when the answer is only right if the target led when it ran the statement. */
-function needsLeader(row: RequestRow, isWrapped: boolean): boolean {
+function needsLeader(row: RequestRow, wrapping: Wrapping): boolean {
   const { transaction } = row;
   if (row.access === 'commit') return transaction?.wrote === true;
-  return transaction ? !transaction.readOnly : isWrapped || row.access === 'write';
+  return transaction ? !transaction.readOnly : wrapping === 'lead' || row.access === 'write';
 }
 
 function applyRunReply(
@@ -237,8 +250,9 @@
   connection: ConnectionRow,
   reply: TargetReply,
   sent: SentOp,
-  isWrapped: boolean,
+  wrapping: Wrapping,
 ): void {
+  const isWrapped = wrapping !== undefined;
   const { target } = connection;
   const now = world.clock.now();
   row.running.delete(connection);
@@ -251,12 +265,13 @@
   }
   recordRunTime(world, row, target, now - sent.sentAt);
   const { transaction } = row;
-  if (needsLeader(row, isWrapped) && !isStillPrimary(world, target)) {
+  if (needsLeader(row, wrapping) && !isStillPrimary(world, target)) {
     if (row.stage !== 'done') handleReplacedPrimary(world, hooks, row, connection, isWrapped);
     else if (!isWrapped) releaseAfterReply(world, connection, reply.inTransaction);
     return;
   }
-  const provesPrimary = row.access === 'write' || (transaction ? !transaction.readOnly : isWrapped);
+  const provesPrimary =
+    row.access === 'write' || (transaction ? !transaction.readOnly : wrapping === 'lead');
   if (provesPrimary && !(row.access === 'commit' && transaction?.wrote === false))
     recordPrimaryProof(world, target, reply.position, sent);
   if (row.stage === 'done') {
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -14,6 +14,11 @@
   readonly limitBackoffMs: Millis;
   /** Time without a reply after which a connection is validated before a single write. */
   readonly validateAfterIdleMs: Millis;
+  /**
+   * Greatest length of a read's id and text with which its message still has room for a minimum position,
+   * by the protocol of the targets.
+   */
+  readonly maxPositionedLength: number;
   /** A connection above the minimum pool size is closed after this idle time. */
   readonly surplusIdleMs: Millis;
   /** Share of a target's connection limit that daemons use; the rest is reserved for restarts. */
@@ -89,6 +94,7 @@
   reopenDelayMs: 100,
   limitBackoffMs: 250,
   validateAfterIdleMs: 500,
+  maxPositionedLength: Infinity,
   surplusIdleMs: 500,
   connectionPlanShare: 0.9,
   sampleEveryMs: 350,
