fix(peer): calls to an address that is none fail instead of ending the process

What callers saw: with an instance in the platform's list whose port is out of range, the daemon that sends it a request ends, with all its sessions.

Cause: the URL of such an address cannot be parsed, which the constructor of the socket reports by throwing. Requests are sent in a microtask, where nothing catches it, and this daemon has no handler for uncaught exceptions.

Fix: the error fails the calls that wait for the connection, as a refused connection does: nothing was sent, and the peer is suspected.

--- a/packages/peer/src/client.ts
+++ b/packages/peer/src/client.ts
@@ -9,7 +9,7 @@
   ConfigPush,
   OwnerRequest,
 } from '@rosedeck/core';
-import { createFailure } from '@rosedeck/shared';
+import { createFailure, describeError } from '@rosedeck/shared';
 import type { InstanceId, Millis } from '@rosedeck/shared';
 import WebSocket from 'ws';
 import type { ClientOptions } from 'ws';
@@ -194,18 +194,28 @@
     return created;
   };
 
+  /** The connection, opened if there is none; undefined for an address that is none, with all calls failed. */
+  const requireConnection = (): PeerConnection | undefined => {
+    try {
+      current ??= connect();
+    } catch (err) {
+      failAll(describeError(err));
+    }
+    return current;
+  };
+
   const flush = (): void => {
     isFlushQueued = false;
     if (outgoing.length === 0) return;
-    current ??= connect();
-    if (current.socket.readyState !== WebSocket.OPEN) return;
+    const connection = requireConnection();
+    if (connection?.socket.readyState !== WebSocket.OPEN) return;
     const batch = outgoing;
     outgoing = [];
     for (const { call } of batch) {
       const pending = calls.get(call);
       if (pending) pending.sent = true;
     }
-    current.submit(batch).catch((err: unknown) => {
+    connection.submit(batch).catch((err: unknown) => {
       rejectBatch(batch, err);
     });
   };
@@ -236,10 +246,11 @@
     }
   };
 
-  /** Connects if necessary; `isFirst` (no other call is pending) starts the checks for silence. */
-  const ensureConnection = (isFirst: boolean): PeerConnection => {
+  /** As `requireConnection`; `isFirst` (no other call is pending) starts the checks for silence. */
+  const ensureConnection = (isFirst: boolean): PeerConnection | undefined => {
     const isNew = current === undefined;
-    const connection = (current ??= connect());
+    const connection = requireConnection();
+    if (!connection) return undefined;
     if (isFirst) recordActivity();
     if (isFirst && (isNew || !isPingScheduled)) scheduleCheck(connection, true);
     return connection;
@@ -252,7 +263,9 @@
       nextCall += 1;
       const isFirst = calls.size === 0;
       calls.set(call, { resolve: () => undefined, reject, sent: true });
-      const { socket, trpc } = ensureConnection(isFirst);
+      const connection = ensureConnection(isFirst);
+      if (!connection) return;
+      const { socket, trpc } = connection;
       const startCall = (): void => {
         start(trpc)
           .then(resolve, reject)
