fix(clients): odd entries of the instance list are left out

What callers saw: after one instance with a port out of range in the platform's list, each daemon that sent it a request ended.

Cause: the reply of the list service was taken for a list without a look at it. An entry that is no object made the daemon drop the whole version without a log line, since it threw behind the point where the version counts as read: what had changed with it was not seen until the next change. A port or host that does not fit into a URL made the peer client throw where nothing catches it.

Evidence: oddList.spec runs the daemons as processes. In platformAdapter.spec lists without instances were passed on.

Fix: the client decodes the list. A reply that is none rejects, and is asked for again after the usual pause; an entry that cannot be used is left out, counted and logged as `list_unreadable`. The check of a port moves to the shared package, beside one of a host, which entries of the platform's daemons get too.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -164,6 +164,9 @@
     claimWaitMs: settings.claimWaitMs,
     countBytes: metrics.countControlBytes,
     post: loop.post,
+    onUnreadable: (version, entries) => {
+      log({ type: 'list_unreadable', version, entries });
+    },
   });
   loop.post({ type: 'config_started' });
   await waitUntilFresh(core, clock);
--- a/packages/daemon/src/logs.ts
+++ b/packages/daemon/src/logs.ts
@@ -18,7 +18,9 @@
   | { readonly type: 'daemon_stopped' }
   | { readonly type: 'drain_ended'; readonly tookMs: number; readonly cut: number }
   | { readonly type: 'change_accepted' | 'change_refused'; readonly record: AuditRecord }
-  | { readonly type: 'audit_dropped'; readonly count: number };
+  | { readonly type: 'audit_dropped'; readonly count: number }
+  /** A version of the platform's list has entries that cannot be used. */
+  | { readonly type: 'list_unreadable'; readonly version: number; readonly entries: number };
 
 /** Any log event; `type` becomes the field `event` of the line. */
 export type LogEvent = CoreLogEvent | DaemonEvent;
@@ -54,6 +56,7 @@
   change_accepted: 'info',
   change_refused: 'warn',
   audit_dropped: 'warn',
+  list_unreadable: 'warn',
 };
 
 /** Creates the logger of a daemon; `write` receives each line with its line break. */
--- a/packages/daemon/src/platformAdapter.ts
+++ b/packages/daemon/src/platformAdapter.ts
@@ -17,6 +17,8 @@
   readonly countBytes: ByteCounter;
   readonly claimWaitMs: Millis;
   readonly post: (event: CoreEvent) => void;
+  /** Called for a version of the list with entries that cannot be used. */
+  readonly onUnreadable: (version: number, entries: number) => void;
 }
 
 const WATCH_TIMEOUT_MS = 30_000;
@@ -58,6 +60,7 @@
       const found = await list.watch(version, WATCH_TIMEOUT_MS);
       if (!found) continue;
       version = found.version;
+      if (found.unreadable > 0) options.onUnreadable(version, found.unreadable);
       options.post({ type: 'list', instances: found.instances, targets: found.targets });
     } catch {
       await sleep(RETRY_DELAY_MS);
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,5 @@
 /** Identifiers, log positions, clocks and error kinds that all packages use. */
+export * from './addresses';
 export * from './clock';
 export * from './describeError';
 export * from './errorKinds';
