fix(mysql): a statement that is no text in its connection's encoding is refused, not changed

What callers saw: a success for a statement other than the one that they sent: bytes that are not UTF-8, such as binary data in a literal, became replacement characters on the way to the target. The same for the name of a database.

Cause: the text of a command was decoded without a check that decoding can be undone. Parameters of prepared statements had the check.

Why it works: such a command ends with MySQL's error 1300 before anything runs. Other bytes can be sent as parameters, which keep them.

--- a/packages/mysql/__tests__/server.spec.ts
+++ b/packages/mysql/__tests__/server.spec.ts
@@ -243,6 +243,20 @@
   assert.match(refused, 'Unknown character set');
 });
 
+// Bytes that are not text in the connection's encoding were replaced, and another statement ran.
+test('a statement that is no text in the encoding of its connection is refused and does not run', async () => {
+  const { commands, connect } = await startTestServer();
+  const socket = await openLoggedInSocket(connect);
+  const sql = [...Buffer.from("INSERT INTO t VALUES ('"), 0xff, 0xfe, ...Buffer.from("')")];
+  // A query, the choice of a database, and the preparing of a statement.
+  for (const code of [0x03, 0x02, 0x16]) socket.write(buildPacket([code, ...sql]));
+  const ended = readUntilClosed(socket);
+  socket.write(buildPacket([0x01]));
+  const bytes = await ended;
+  assert.equal(commands, []);
+  assert.is(bytes.toString('latin1').split('#HY000Invalid utf8 character string').length, 4);
+});
+
 test('long data of a parameter is concatenated, within the limit', async () => {
   const { commands, connect } = await startTestServer(respondOk, { packetBytes: 2_000 });
   const socket = await openLoggedInSocket(connect);
--- a/packages/mysql/src/commandReader.ts
+++ b/packages/mysql/src/commandReader.ts
@@ -1,3 +1,4 @@
+import { isAscii, isUtf8 } from 'node:buffer';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Param } from '@rosedeck/core';
@@ -8,7 +9,7 @@
 import type { Packet } from './packetTypes';
 import { appendLongData, prepareStatement, readParams, resetStatement } from './preparedStatements';
 import type { StatementTable } from './preparedStatements';
-import { MALFORMED_PACKET, PACKET_TOO_LARGE } from './serverErrors';
+import { createTextError, MALFORMED_PACKET, PACKET_TOO_LARGE } from './serverErrors';
 import type { ServerError } from './serverErrors';
 
 /** A command that is passed to the connection handlers, which send the response. */
@@ -75,11 +76,13 @@
   const code = packet.readInt8();
   switch (code) {
     case COMMAND.query:
-      return createCommand({ type: 'query', sql: readText(packet, state) });
+      return readText(packet, state).andThen((sql) => createCommand({ type: 'query', sql }));
     case COMMAND.ping:
       return createCommand({ type: 'ping' });
     case COMMAND.initDb:
-      return createCommand({ type: 'use', database: readText(packet, state) });
+      return readText(packet, state).andThen((database) =>
+        createCommand({ type: 'use', database }),
+      );
     case COMMAND.resetConnection:
       state.statements.byId = undefined;
       return createCommand({ type: 'reset' });
@@ -90,9 +93,9 @@
     case COMMAND.changeUser:
       return readChangeUser(packet, state);
     case COMMAND.stmtPrepare:
-      return prepareStatement(state.statements, readText(packet, state)).map(
-        ({ id, paramCount }) => ({ kind: 'prepared', id, paramCount }),
-      );
+      return readText(packet, state)
+        .andThen((sql) => prepareStatement(state.statements, sql))
+        .map(({ id, paramCount }) => ({ kind: 'prepared', id, paramCount }));
     default:
       return readStatementCommand(packet, state, code);
   }
@@ -129,8 +132,17 @@
   return ok({ kind: 'command', command: serverCommand, isBinary });
 }
 
-function readText(packet: Packet, state: ReaderState): string {
-  return packet.readString(packet.end - packet.offset, state.encoding);
+/** Reads the rest of a packet; bytes that are no text in the encoding would become other text. */
+function readText(packet: Packet, { encoding }: ReaderState): Result<string, ServerError> {
+  const { offset, end } = packet;
+  const bytes = packet.buffer.subarray(offset, end);
+  if (!isText(bytes, encoding)) return err(createTextError(encoding));
+  return ok(packet.readString(end - offset, encoding));
+}
+
+function isText(bytes: Buffer, encoding: TextEncoding): boolean {
+  if (encoding === 'latin1') return true;
+  return encoding === 'utf8' ? isUtf8(bytes) : isAscii(bytes);
 }
 
 /** Length of the cursor flags and the iteration count. */
--- a/packages/mysql/src/serverErrors.ts
+++ b/packages/mysql/src/serverErrors.ts
@@ -46,3 +46,12 @@
   sqlState: 'HY000',
   message: 'Connections using insecure transport are prohibited',
 };
+
+/** A statement or name is not valid in the client's encoding; it may be sent as a parameter. */
+export function createTextError(encoding: string): ServerError {
+  return {
+    code: 1300,
+    sqlState: 'HY000',
+    message: `Invalid ${encoding} character string; send other bytes as parameters`,
+  };
+}
