fix(direct): a statement is sent only after its session's values are set

What callers saw: a statement ran without a value that its session had set, or with the values of another session (PINNED), when the target refused the SET, CLOSE or DISCARD before it, as with RETRYLATER.

Cause: set-up and statement went out together. The refusal closed the connection when its reply arrived, but the target had run the statement by then. A single write so lost was answered with outcome_unknown.

Evidence: refusedSetup.spec failed before in all four tests: "write ran without a session value whose SET was refused" got 'failed' instead of 'done', the statement of a transaction had run once with no value, and the property found

set s1 in c0; READ in c0; WRITE in c1 whose DISCARD is refused

Why the fix works: the statement is sent by the handler of the last set-up reply, and only when that is a success; an earlier refusal has closed the connection before. A refused set-up then means that the statement has not run, so that a write is tried again. BEGIN still goes out with the set-up, since it depends on no value.

--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -41,10 +41,7 @@
     validateThenRun(world, hooks, row, connection);
     return;
   }
-  sendOps(world, connection, [
-    ...setupSteps(world, row, connection),
-    runStep(world, hooks, row, connection, after, false),
-  ]);
+  setUpThenRun(world, hooks, row, connection, after);
 }
 
 /** Runs a later statement of an open transaction. */
@@ -59,10 +56,7 @@
     return;
   }
   startTry(world, hooks, row, connection);
-  sendOps(world, connection, [
-    ...setupSteps(world, row, connection),
-    runStep(world, hooks, row, connection, undefined, false),
-  ]);
+  setUpThenRun(world, hooks, row, connection, undefined);
 }
 
 /** False when the target was the primary and may have been replaced since. */
@@ -90,6 +84,39 @@
   };
 }
 
+/**
+ * Runs a statement once the target has confirmed what it needs on the connection: after a refused SET or
+ * PARSE it would run with other values, or in another shape.
+ */
+function setUpThenRun(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  connection: ConnectionRow,
+  after: Position | undefined,
+): void {
+  const run = (): void => {
+    sendOps(world, connection, [runStep(world, hooks, row, connection, after, false)]);
+  };
+  const steps = setupSteps(world, row, connection);
+  const last = steps.pop();
+  if (!last) {
+    run();
+    return;
+  }
+  const [op, handle] = last;
+  const runOrRelease: Step = [
+    op,
+    (reply, sent) => {
+      handle(reply, sent);
+      if (reply.kind === 'failed') return;
+      if (row.stage === 'done') releaseUnused(world, row, connection, reply.inTransaction);
+      else run();
+    },
+  ];
+  sendOps(world, connection, [...steps, runOrRelease]);
+}
+
 /** Runs a write after an empty transaction has shown that a long idle connection still works. */
 function validateThenRun(
   world: World,
@@ -107,17 +134,14 @@
     { op: 'rollback' },
     (reply) => {
       if (row.stage === 'done') {
-        releaseUnused(world, row, connection);
+        releaseUnused(world, row, connection, reply.inTransaction);
         return;
       }
       if (reply.inTransaction) {
         loseConnection(world, connection, 'protocol', world.clock.now());
         return;
       }
-      sendOps(world, connection, [
-        ...setupSteps(world, row, connection),
-        runStep(world, hooks, row, connection, undefined, false),
-      ]);
+      setUpThenRun(world, hooks, row, connection, undefined);
     },
   ];
   sendOps(world, connection, [begin, rollback]);
@@ -279,7 +303,12 @@
   hooks.finish(world, row, { kind: 'done', rows: reply.rows, digest: reply.digest });
 }
 
-function releaseUnused(world: World, row: RequestRow, connection: ConnectionRow): void {
+function releaseUnused(
+  world: World,
+  row: RequestRow,
+  connection: ConnectionRow,
+  inTransaction: boolean,
+): void {
   row.running.delete(connection);
-  releaseAfterReply(world, connection, false);
+  releaseAfterReply(world, connection, inTransaction);
 }
