fix(direct): the reply to a ROLLBACK is no reply to the BEGIN before it

What callers saw: after the reply to a BEGIN had been lost, a replica could count as the primary, and its position as the newest one, so that reads on bounded_staleness routes ran on data of any age (STALE).

Cause: a probe sends BEGIN and ROLLBACK together, and so does a write on a connection that has been idle for long. Where a replica refuses the BEGIN and the refusal is lost while the connection goes on, the success of the ROLLBACK was taken for that of the BEGIN: both carry no digest.

Evidence: the new test of reads.spec failed before: with all targets replicas and every refusal lost, all seven reads later than the limit were answered 'done' instead of 'failed'.

Why the fix works: after a BEGIN that succeeded the connection is in a transaction, after a ROLLBACK it is not. A success without a transaction ends the connection, as other mismatched replies do, and no statement can run outside the transaction that it belongs to.

--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -15,6 +15,8 @@
   refusing: boolean;
   /** Runs statements but never replies to them. */
   dropsReplies: boolean;
+  /** Refuses each BEGIN, and the refusal is lost; its connections go on. */
+  losesBegins: boolean;
   /** Never replies to `status`. */
   ignoresStatus: boolean;
   /** Time that a reply to `status` takes. */
@@ -64,6 +66,7 @@
     silent: false,
     refusing: false,
     dropsReplies: false,
+    losesBegins: false,
     ignoresStatus: false,
     statusMs: 0,
     forgetsPrepared: false,
--- a/packages/direct/__tests__/reads.spec.ts
+++ b/packages/direct/__tests__/reads.spec.ts
@@ -105,6 +105,22 @@
   }
 });
 
+test('a replica whose refusal of BEGIN was lost counted as the primary by the ROLLBACK behind it', () => {
+  const rig = createWarmRig();
+  openSession(rig, 's', 'loops');
+  for (const target of rig.targets) {
+    target.role = 'replica';
+    target.losesBegins = true;
+  }
+  const reads = Array.from({ length: 10 }, (_, at) => {
+    const id = rig.submit('s', { kind: 'read', text: `READ ${at}` });
+    rig.run(1_000);
+    return rig.answerOf(id)?.answer.kind;
+  });
+  // All samples from before are older than the limit of the route.
+  assert.equal(reads.slice(3), Array(7).fill('failed'));
+});
+
 test('a read whose reply is lost is sent to a second target', () => {
   const rig = createWarmRig();
   for (const target of rig.targets.slice(0, 2)) target.dropsReplies = true;
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -153,6 +153,11 @@
   const handleOp = (id: ConnectionId, connection: FakeConnection, op: TargetOp): void => {
     const { target } = connection;
     if (target.silent) return;
+    if (op.op === 'begin' && target.losesBegins) {
+      connection.working = false;
+      runNext(id, connection);
+      return;
+    }
     const reply = (result: TargetReply): void => {
       connection.working = false;
       if (target.silent) return;
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -199,6 +199,7 @@
 function canAnswer(reply: TargetReply, op: TargetOp['op']): boolean {
   if (reply.kind === 'failed') return true;
   if (op === 'status' || op === 'stepDown') return reply.status !== undefined;
+  if (op === 'begin' && !reply.inTransaction) return false;
   return (op === 'run') === (reply.digest !== NO_DIGEST);
 }
 
