--- a/packages/mysql/__tests__/preparedStatements.spec.ts
+++ b/packages/mysql/__tests__/preparedStatements.spec.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import fc from 'fast-check';
 import mysql from 'mysql2';
 import { test } from 'uvu';
@@ -119,6 +120,25 @@
   connection.destroy();
 });
 
+test('cells whose lengths need a longer prefix are read as they were sent, in both protocols', async () => {
+  const lengths = [250, 251, 252, 65_535, 65_536, 1_000_000];
+  const columns = [createColumn(253), createColumn(252, { charset: 63 })];
+  const cells = lengths.map((length) => [
+    '\0'.repeat(length - 2) + 'é',
+    Buffer.alloc(length, 0xfe),
+  ]);
+  const { connect } = await startTestServer((connection) => {
+    const rows = cells.map(([text, bytes]) => [String(text), (bytes as Buffer).toString('base64')]);
+    connection.sendRows(columns, rows);
+  });
+  const connection = await connect({ rowsAsArray: true });
+  const [asText] = await connection.query('SELECT 1');
+  const [asBinary] = await connection.execute('SELECT 1');
+  assert.ok(isDeepStrictEqual(asText, cells));
+  assert.ok(isDeepStrictEqual(asBinary, cells));
+  connection.destroy();
+});
+
 test.after.each(closeServers);
 
 test.run();
