fix(direct): a statement that never left the daemon is not answered as in doubt

What callers saw: INDOUBT for a write or a commit that could not be sent over a link, because its owner is of an earlier release and does not read the escapes or the length that it needs. It had not run anywhere.

Cause: the leasing daemon sent the operations in front of such a statement, then ended the lease as one whose connection is unclear; the engine counts a statement as sent once it has handed it over.

--- a/packages/direct/__tests__/poolOwnerLoss.spec.ts
+++ b/packages/direct/__tests__/poolOwnerLoss.spec.ts
@@ -103,6 +103,59 @@
   assertNoTargetFailed(rig);
 });
 
+/**
+ * Lets no owner take a statement of a caller. The result runs until a request is answered, and returns
+ * how many statements were not taken.
+ */
+function refuseRuns(rig: Rig): (request: string) => number {
+  const { world } = rig.engine;
+  const { io } = world;
+  const refused: number[] = [];
+  const send: typeof io.send = (id, ops) => {
+    const isLeased = world.connections.get(id)?.lease !== undefined;
+    if (isLeased && ops.some(({ op }) => op === 'run')) refused.push(id);
+    else io.send(id, ops);
+  };
+  Object.assign(world, { io: { ...io, send } });
+  return (request) => {
+    let count = 0;
+    for (let at = 0; at < 500 && !rig.answerOf(request); at += 1) {
+      rig.run(1);
+      for (const id of refused.splice(0)) {
+        count += 1;
+        rig.engine.connectionLost(id, 'not_owner');
+      }
+    }
+    return count;
+  };
+}
+
+// It had never left the daemon, and was answered as in doubt.
+test('a statement that no owner takes is served over an own connection', () => {
+  const rig = createPoolRig();
+  const runRefusing = refuseRuns(rig);
+  const ids = [WRITE, READ].map((statement) => submit(rig, 'bookings', statement));
+  const [count = 0] = ids.map(runRefusing);
+  assert.ok(count > 0);
+  assertAllDone(rig, ids);
+  assertNoTargetFailed(rig);
+});
+
+test('a commit that the owner of its lease does not take is answered as rolled back', () => {
+  const rig = createPoolRig();
+  const session = openSession(rig, 'tx', 'bookings');
+  rig.submit(session, { kind: 'begin', readOnly: false });
+  rig.run(1);
+  runUntilAnswered(rig, rig.submit(session, WRITE));
+  const runRefusing = refuseRuns(rig);
+  const commit = rig.submit(session, { kind: 'commit', text: 'COMMIT' });
+  assert.is(runRefusing(commit), 1);
+  assert.is(outcomeOf(rig, commit), 'transaction_lost');
+  rig.run(500);
+  const [primary] = rig.targets;
+  assert.not.ok(primary?.executed.some(({ text }) => text === 'COMMIT'));
+});
+
 test('losses of owners while work goes on refuse nothing and fail no target', () => {
   const rig = createPoolRig();
   const names = new Set(['t1', 't2', 't3'].flatMap((target) => [...ownersOf(rig, target)]));
--- a/packages/direct/src/requestFailures.ts
+++ b/packages/direct/src/requestFailures.ts
@@ -139,9 +139,13 @@
   // The loss of a pool owner says nothing about the target.
   if (reason === 'owner_lost' || reason === 'not_owner')
     row.tried.delete(connection.target.listed.id);
+  // An owner that does not take a lease has taken none of the operations that it waits for.
+  if (reason === 'not_owner' && connection.pending.some(({ op }) => op === 'run'))
+    row.unansweredTries -= 1;
   row.lastError = reason;
   if (isPinned) {
-    const kind = row.access === 'commit' ? 'outcome_unknown' : 'transaction_lost';
+    const isUnclear = row.access === 'commit' && mayHaveRun(row);
+    const kind = isUnclear ? 'outcome_unknown' : 'transaction_lost';
     failRequest(world, hooks, row, kind, `the connection to the target ended (${reason})`);
     return;
   }
