test(direct): values, shapes and transactions of sessions hold through faults

Random callers set values, prepare, close and run statements and transactions, and leave at any moment, over own connections and over leases, while targets are reset, silent, busy or slow, lose replies, forget prepared statements, refuse set-up or are replaced. Each statement that a target ran is compared with its session.

--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -23,6 +23,8 @@
   statusMs: number;
   /** Forgets the prepared statements of the connection of the next EXECUTE. */
   forgetsPrepared: boolean;
+  /** Refuses the next SET, PARSE, CLOSE or DISCARD with `busy`. */
+  refusesSetup: boolean;
   /** Refuses statements with `busy`. */
   repliesBusy: boolean;
   runMs: number;
@@ -37,6 +39,10 @@
     readonly text: string;
     /** Shape of the prepared statement that an EXECUTE ran. */
     readonly shape?: string;
+    /** Session values in force, as `name=value`. */
+    readonly values: readonly string[];
+    /** Transaction in which it ran; distinct for all transactions of a target. */
+    readonly transaction?: string;
     readonly at: number;
   }[];
 }
@@ -44,6 +50,9 @@
 /** A connection to a fake target. */
 export interface FakeConnection {
   readonly target: FakeTarget;
+  readonly id: number;
+  /** Transactions begun so far. */
+  begun: number;
   inTransaction: boolean;
   readWrite: boolean;
   wrote: boolean;
@@ -70,6 +79,7 @@
     ignoresStatus: false,
     statusMs: 0,
     forgetsPrepared: false,
+    refusesSetup: false,
     repliesBusy: false,
     runMs: 20,
     slots: 3,
@@ -95,6 +105,8 @@
   };
 }
 
+const SETUP_OPS: ReadonlySet<string> = new Set(['set', 'prepare', 'close', 'discard']);
+
 type Schedule = (ms: number, action: () => void) => void;
 
 type Reply = (result: TargetReply) => void;
@@ -124,9 +136,15 @@
       return;
     }
     connection.inTransaction = true;
+    connection.begun += 1;
     connection.readWrite = !op.readOnly;
     connection.wrote = false;
   }
+  if (target.refusesSetup && SETUP_OPS.has(op.op)) {
+    target.refusesSetup = false;
+    reply(failedReply(target, connection, 'busy'));
+    return;
+  }
   if (op.op === 'rollback') connection.inTransaction = false;
   if (op.op === 'discard') {
     connection.variables.clear();
@@ -207,7 +225,12 @@
   const finish = (): void => {
     target.busySlots -= 1;
     target.waiting.shift()?.();
-    target.executed.push({ id: op.id, text: op.text, shape: prepared?.shape, at: now() });
+    const values = [...connection.variables].map(([key, value]) => `${key}=${value}`);
+    const { id, text } = op;
+    const transaction = connection.inTransaction
+      ? `${connection.id}/${connection.begun}`
+      : undefined;
+    target.executed.push({ id, text, shape: prepared?.shape, values, transaction, at: now() });
     if (connection.inTransaction && isWrite) connection.wrote = true;
     if ((isWrite && !connection.inTransaction) || (isCommit && connection.wrote)) {
       target.received = { term: target.term, index: target.received.index + 1 };
@@ -216,10 +239,9 @@
     }
     if (isCommit) connection.inTransaction = false;
     if (target.dropsReplies) return;
-    const variables = [...connection.variables]
-      .map(([name, value]) => `${name}=${value}`)
-      .join(',');
-    reply(doneReply(target, connection, [`${target.id}/${variables}`], `${target.id}.${op.id}`));
+    reply(
+      doneReply(target, connection, [`${target.id}/${values.join(',')}`], `${target.id}.${op.id}`),
+    );
   };
   const start = (): void => {
     target.busySlots += 1;
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -184,6 +184,8 @@
   const addConnection = (id: ConnectionId, target: FakeTarget): void => {
     connections.set(id, {
       target,
+      id,
+      begun: 0,
       inTransaction: false,
       readWrite: false,
       wrote: false,
