fix(direct): a status without a position ends no connection

What callers saw: nothing yet; connections to a target whose log is empty, or whose position is shown as `-`, were closed and opened again with each status.

Cause: since a success of STATUS or STEPDOWN counts as the reply to another operation where its row cannot be read as a status. The protocol has `-` where there is no position.

Why the fix works: only a reply without any row is taken for that of another operation; the handlers have ignored unread rows all along.

--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -17,6 +17,8 @@
   dropsReplies: boolean;
   /** Refuses each BEGIN, and the refusal is lost; its connections go on. */
   losesBegins: boolean;
+  /** Replies to `status` with `-` in place of a position, as for an empty log. */
+  hidesReceived: boolean;
   /** Never replies to `status`. */
   ignoresStatus: boolean;
   /** Time that a reply to `status` takes. */
@@ -76,6 +78,7 @@
     refusing: false,
     dropsReplies: false,
     losesBegins: false,
+    hidesReceived: false,
     ignoresStatus: false,
     statusMs: 0,
     forgetsPrepared: false,
@@ -155,6 +158,10 @@
   if (op.op === 'close') connection.prepared.delete(op.name);
   if (op.op === 'stepDown' && target.term < op.term) target.role = 'replica';
   if (op.op === 'status' && target.ignoresStatus) return;
+  if (op.op === 'status' && target.hidesReceived) {
+    reply(doneReply(target, connection, [`${target.role} ${target.term} - 0 0 0 1`]));
+    return;
+  }
   if (op.op === 'status' && target.statusMs > 0) {
     schedule(target.statusMs, () => {
       const { role, term, received } = target;
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -198,7 +198,9 @@
 /** False for a success that is certainly not the reply to an operation, as after a lost reply. */
 function canAnswer(reply: TargetReply, op: TargetOp['op']): boolean {
   if (reply.kind === 'failed') return true;
-  if (op === 'status' || op === 'stepDown') return reply.status !== undefined;
+  // The row of a target whose log is empty is no status, since it names no position.
+  if (op === 'status' || op === 'stepDown')
+    return reply.status !== undefined || reply.rows.length > 0;
   if (op === 'begin' && !reply.inTransaction) return false;
   return (op === 'run') === (reply.digest !== NO_DIGEST);
 }
