fix(pool): a lease keeps its place in flight between set-up and statement

What callers saw: nothing yet; since a statement follows the reply to its set-up, and the pool gave the place of the lease to another request in between, so that more statements than the limit went to the target.

Cause: a lease without an outstanding operation is not in flight, save for 50 ms after its grant.

Evidence: the new test of leases.spec failed before: 0 in flight after the reply to a SET instead of 1.

Why the fix works: after the reply to a SET or PARSE the place is kept as after a grant, for at most 50 ms or until the lease is returned.

--- a/packages/pool/__tests__/leases.spec.ts
+++ b/packages/pool/__tests__/leases.spec.ts
@@ -65,6 +65,19 @@
   assert.is(rig.inFlight(), 0);
 });
 
+test('a lease lost its place in flight between its set-up and its statement', () => {
+  const rig = createRigWith(['a']);
+  rig.request('a1', { tenant: 'a' });
+  rig.pool.operationSent('a1', true);
+  rig.advance(60);
+  rig.pool.replied(rig.grants.get('a1') ?? 0, RESTING);
+  assert.is(rig.inFlight(), 1);
+  rig.advance(49);
+  assert.is(rig.inFlight(), 1);
+  rig.advance(1);
+  assert.is(rig.inFlight(), 0);
+});
+
 test('statements on granted leases pass when the limit in flight is used up', () => {
   const rig = createRig(12, 4);
   for (let at = 0; at < 10; at += 1) {
--- a/packages/pool/src/connectionSet.ts
+++ b/packages/pool/src/connectionSet.ts
@@ -86,6 +86,7 @@
     busySince: now,
     inTransaction: false,
     hasTraces: false,
+    isSettingUp: false,
     isInFlight: false,
   };
   world.nextConnectionId += 1;
--- a/packages/pool/src/grants.ts
+++ b/packages/pool/src/grants.ts
@@ -63,7 +63,7 @@
   connection.wasLent = true;
   enterState(connection, 'leased', now);
   setInFlight(connection, true, now);
-  target.reserved.push({ connection, at: now });
+  target.reserved.push({ connection, since: now, at: now });
   const waitedMs = now - lease.arrivedAt;
   world.leased += 1;
   world.counts.granted += 1;
@@ -80,8 +80,8 @@
     const [oldest] = reserved;
     if (!oldest || now - oldest.at < world.settings.reservedMs) return;
     reserved.shift();
-    const { connection } = oldest;
-    const isSameLease = connection.state === 'leased' && connection.since === oldest.at;
+    const { connection, since } = oldest;
+    const isSameLease = connection.state === 'leased' && connection.since === since;
     if (isSameLease && connection.pending === 0) setInFlight(connection, false, now);
   }
 }
--- a/packages/pool/src/operations.ts
+++ b/packages/pool/src/operations.ts
@@ -18,6 +18,7 @@
   if (connection.pending === 0) connection.busySince = now;
   connection.pending += 1;
   connection.hasTraces ||= leavesTraces;
+  connection.isSettingUp = leavesTraces;
   setInFlight(connection, true, now);
   return true;
 }
@@ -41,7 +42,9 @@
   connection.inTransaction = reply.inTransaction;
   if (connection.pending === 0) {
     if (!reply.wasBusy) lease.usedMs += now - connection.busySince;
-    setInFlight(connection, false, now);
+    if (connection.isSettingUp)
+      target.reserved.push({ connection, since: connection.since, at: now });
+    else setInFlight(connection, false, now);
   }
   if (reply.wasBusy && target.limit.cut(now))
     world.log({ type: 'in_flight_limited', target: target.id, limit: target.limit.value() });
--- a/packages/pool/src/tables.ts
+++ b/packages/pool/src/tables.ts
@@ -109,10 +109,20 @@
   inTransaction: boolean;
   /** Session values or prepared statements have been left on it. */
   hasTraces: boolean;
+  /** The last operation was set-up, so that the holder's statement follows its reply. */
+  isSettingUp: boolean;
   /** Counted in `inFlight` of its target. */
   isInFlight: boolean;
 }
 
+/** A place in flight that is kept for the next operation of a lease. */
+export interface Reservation {
+  readonly connection: ConnectionRow;
+  /** `since` of the connection, which tells its leases apart. */
+  readonly since: Millis;
+  readonly at: Millis;
+}
+
 /** A target whose connections are pooled. */
 export interface TargetRow {
   readonly id: TargetId;
@@ -138,10 +148,10 @@
   readonly queue: LeaseQueue;
   readonly fairShare: FairShare;
   readonly limit: ConcurrencyLimit;
-  /** Openings, outstanding statements, and leases granted in the last moment. */
+  /** Openings, outstanding statements, and leases granted or set up in the last moment. */
   inFlight: number;
-  /** Grants of the last moment, in their order. */
-  readonly reserved: { readonly connection: ConnectionRow; readonly at: Millis }[];
+  /** Grants and replies to set-up of the last moment, in their order. */
+  readonly reserved: Reservation[];
   /** No connection is opened before this time. */
   openBlockedUntil: Millis;
   /** Since when every opening has failed. */
