--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -17,12 +17,16 @@
   dropsReplies: boolean;
   /** Refuses each BEGIN, and the refusal is lost; its connections go on. */
   losesBegins: boolean;
+  /** Replies to `status` with `-` in place of a position, as for an empty log. */
+  hidesReceived: boolean;
   /** Never replies to `status`. */
   ignoresStatus: boolean;
   /** Time that a reply to `status` takes. */
   statusMs: number;
   /** Forgets the prepared statements of the connection of the next EXECUTE. */
   forgetsPrepared: boolean;
+  /** Refuses the next SET, PARSE, CLOSE or DISCARD with `busy`. */
+  refusesSetup: boolean;
   /** Refuses statements with `busy`. */
   repliesBusy: boolean;
   runMs: number;
@@ -37,6 +41,10 @@
     readonly text: string;
     /** Shape of the prepared statement that an EXECUTE ran. */
     readonly shape?: string;
+    /** Session values in force, as `name=value`. */
+    readonly values: readonly string[];
+    /** Transaction in which it ran; distinct for all transactions of a target. */
+    readonly transaction?: string;
     readonly at: number;
   }[];
 }
@@ -44,6 +52,9 @@
 /** A connection to a fake target. */
 export interface FakeConnection {
   readonly target: FakeTarget;
+  readonly id: number;
+  /** Transactions begun so far. */
+  begun: number;
   inTransaction: boolean;
   readWrite: boolean;
   wrote: boolean;
@@ -67,9 +78,11 @@
     refusing: false,
     dropsReplies: false,
     losesBegins: false,
+    hidesReceived: false,
     ignoresStatus: false,
     statusMs: 0,
     forgetsPrepared: false,
+    refusesSetup: false,
     repliesBusy: false,
     runMs: 20,
     slots: 3,
@@ -95,6 +108,8 @@
   };
 }
 
+const SETUP_OPS: ReadonlySet<string> = new Set(['set', 'prepare', 'close', 'discard']);
+
 type Schedule = (ms: number, action: () => void) => void;
 
 type Reply = (result: TargetReply) => void;
@@ -124,9 +139,15 @@
       return;
     }
     connection.inTransaction = true;
+    connection.begun += 1;
     connection.readWrite = !op.readOnly;
     connection.wrote = false;
   }
+  if (target.refusesSetup && SETUP_OPS.has(op.op)) {
+    target.refusesSetup = false;
+    reply(failedReply(target, connection, 'busy'));
+    return;
+  }
   if (op.op === 'rollback') connection.inTransaction = false;
   if (op.op === 'discard') {
     connection.variables.clear();
@@ -137,6 +158,10 @@
   if (op.op === 'close') connection.prepared.delete(op.name);
   if (op.op === 'stepDown' && target.term < op.term) target.role = 'replica';
   if (op.op === 'status' && target.ignoresStatus) return;
+  if (op.op === 'status' && target.hidesReceived) {
+    reply(doneReply(target, connection, [`${target.role} ${target.term} - 0 0 0 1`]));
+    return;
+  }
   if (op.op === 'status' && target.statusMs > 0) {
     schedule(target.statusMs, () => {
       const { role, term, received } = target;
@@ -207,7 +232,12 @@
   const finish = (): void => {
     target.busySlots -= 1;
     target.waiting.shift()?.();
-    target.executed.push({ id: op.id, text: op.text, shape: prepared?.shape, at: now() });
+    const values = [...connection.variables].map(([key, value]) => `${key}=${value}`);
+    const { id, text } = op;
+    const transaction = connection.inTransaction
+      ? `${connection.id}/${connection.begun}`
+      : undefined;
+    target.executed.push({ id, text, shape: prepared?.shape, values, transaction, at: now() });
     if (connection.inTransaction && isWrite) connection.wrote = true;
     if ((isWrite && !connection.inTransaction) || (isCommit && connection.wrote)) {
       target.received = { term: target.term, index: target.received.index + 1 };
@@ -216,10 +246,9 @@
     }
     if (isCommit) connection.inTransaction = false;
     if (target.dropsReplies) return;
-    const variables = [...connection.variables]
-      .map(([name, value]) => `${name}=${value}`)
-      .join(',');
-    reply(doneReply(target, connection, [`${target.id}/${variables}`], `${target.id}.${op.id}`));
+    reply(
+      doneReply(target, connection, [`${target.id}/${values.join(',')}`], `${target.id}.${op.id}`),
+    );
   };
   const start = (): void => {
     target.busySlots += 1;
