fix(direct): what sessions set and prepare is bounded

A caller may send any number of SET and PARSE, and the daemon kept all of it until the session ended; a few callers filled the heap, which ends the process for all others.

A session keeps up to 4 MiB of names, values and shapes, some of which may be as long as a message, all sessions of a daemon 32 MiB. Beyond it SET and PARSE are refused, TOOBIG and RETRYLATER on the wire, and not applied; CLOSE and the end of a session give the memory back.

--- a/packages/direct/__tests__/prepared.spec.ts
+++ b/packages/direct/__tests__/prepared.spec.ts
@@ -33,6 +33,28 @@
   assert.is(logged[0]?.prepared, logged[2]?.prepared);
 });
 
+test('sessions keep a bounded amount of values and prepared statements, and give it back', () => {
+  const rig = createRig();
+  const outcomeOf = (session: string, name: string, access: 'read' | 'write'): string => {
+    const shape = 'x'.repeat(1 << 20);
+    const request = rig.submit(session, { kind: 'prepare', name, access, shape });
+    const answer = rig.answerOf(request)?.answer;
+    return answer?.kind === 'failed' ? answer.failure.kind : 'done';
+  };
+  const sessions = Array.from({ length: 12 }, (_, at) => openSession(rig, `c${at}`, 'bookings'));
+  for (const session of sessions.slice(0, 10))
+    for (const name of ['a', 'b', 'c']) assert.is(outcomeOf(session, name, 'read'), 'done');
+  assert.is(outcomeOf('c0', 'd', 'read'), 'too_large');
+  assert.is(outcomeOf('c0', 'a', 'write'), 'done', 'in place of another');
+  assert.is(outcomeOf('c10', 'a', 'read'), 'done');
+  assert.is(outcomeOf('c11', 'a', 'read'), 'overloaded');
+  rig.submit('c0', { kind: 'close', name: 'a' });
+  assert.is(outcomeOf('c11', 'a', 'read'), 'done');
+  assert.is(outcomeOf('c11', 'b', 'read'), 'overloaded');
+  for (const session of sessions) rig.engine.closeSession(session);
+  assert.is(rig.engine.world.keptLength, 0);
+});
+
 test('a statement that its target has forgotten is prepared again', () => {
   const rig = createRig();
   rig.run(300);
--- a/packages/direct/src/sessions.ts
+++ b/packages/direct/src/sessions.ts
@@ -10,6 +10,7 @@
 import { createRequest, dequeueRequest, enqueueRequest } from './requests';
 import type { RequestSpec } from './requests';
 import type { Route } from './configuration';
+import { dropPrepared, dropText, keepPrepared, keepValue } from './sessionText';
 import { NO_DIGEST } from './statements';
 import type { Access, CallerAnswer, CallerStatement, PreparedStatement } from './statements';
 import type { RequestRow, SessionRow, TransactionRow, World } from './tables';
@@ -41,6 +42,7 @@
     key: digest,
     variables: new Map(),
     prepared: new Map(),
+    keptLength: 0,
     state: 'idle',
     positionAt: 0,
     closed: false,
@@ -53,6 +55,7 @@
   const session = world.sessions.get(id);
   if (!session) return;
   world.sessions.delete(id);
+  dropText(world, session);
   session.closed = true;
   const { request, transaction } = session;
   if (request?.stage === 'queued' && !transaction?.connection) {
@@ -174,16 +177,15 @@
   if (session.state === 'failed') return answerInFailedTransaction(session, kind);
   if (kind === 'malformed') return failStatement(session, 'unsupported', statement.detail);
   if (kind === 'set') {
-    session.variables.set(statement.name, statement.value);
-    return LOCAL_OK;
+    return answerKept(session, keepValue(world, session, statement.name, statement.value));
   }
   if (kind === 'prepare') {
     const { name, access, shape } = statement;
-    session.prepared.set(name, createPrepared(access, shape));
-    return LOCAL_OK;
+    const prepared = createPrepared(access, shape);
+    return answerKept(session, keepPrepared(world, session, name, prepared));
   }
   if (kind === 'close') {
-    session.prepared.delete(statement.name);
+    dropPrepared(world, session, statement.name);
     return LOCAL_OK;
   }
   if (kind === 'begin') return beginTransaction(world, session, statement.readOnly);
@@ -201,6 +203,11 @@
   return undefined;
 }
 
+function answerKept(session: SessionRow, refusal: ErrorKind | undefined): CallerAnswer {
+  if (refusal === undefined) return LOCAL_OK;
+  return failStatement(session, refusal, 'values and prepared statements take too much memory');
+}
+
 /** A failed transaction accepts only commit and rollback. */
 function answerInFailedTransaction(
   session: SessionRow,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -274,6 +274,8 @@
   readonly key?: KeyDigest;
   readonly variables: Map<string, string>;
   readonly prepared: Map<string, PreparedStatement>;
+  /** Size of both, see `sessionText`. */
+  keptLength: number;
   transaction?: TransactionRow;
   state: SessionState;
   /** The request without an answer yet; at most one at a time. */
@@ -359,6 +361,8 @@
   readonly lostOwners: Map<InstanceId, LostOwner>;
   /** Groups whose queues are dispatched before the engine returns. */
   readonly groupsToDispatch: Set<GroupRow>;
+  /** Size of the values and prepared statements of all sessions. */
+  keptLength: number;
   nextConnectionId: ConnectionId;
   /** Incremented at each time jump. */
   epoch: number;
--- a/packages/direct/src/world.ts
+++ b/packages/direct/src/world.ts
@@ -47,6 +47,7 @@
     }),
     lostOwners: new Map(),
     groupsToDispatch: new Set(),
+    keptLength: 0,
     nextConnectionId: 1,
     epoch: 0,
     timeJumpedAt: -Infinity,
