fix(direct): a statement refused with its transaction is not tried again in it

What callers saw: where a busy target refused a statement and the transaction failed with it (READY E), the statement was sent again in that transaction, and the caller got MALFORMED, which promises nothing, instead of ABORTED. Found by the review.

Cause: state E counted as an open transaction.

A statement that is refused in a transaction that goes on (READY T) is tried again as before.

--- a/packages/direct/src/requestFailures.ts
+++ b/packages/direct/src/requestFailures.ts
@@ -51,7 +51,8 @@
   if (reply.code === 'unknown_prepared') connection.mustDiscard = true;
   const { transaction } = row;
   const isPinned = transaction?.connection === connection;
-  if (isPinned && reply.code === 'busy' && reply.inTransaction && row.stage !== 'done') {
+  const canTryAgain = reply.code === 'busy' && reply.inTransaction && !reply.transactionFailed;
+  if (isPinned && canTryAgain && row.stage !== 'done') {
     row.lastError = reply.code;
     row.notBefore = now + BUSY_RETRY_MS;
     row.stage = 'queued';
--- a/packages/direct/src/statements.ts
+++ b/packages/direct/src/statements.ts
@@ -88,6 +88,8 @@
       readonly code: TargetCode;
       readonly detail: string;
       readonly inTransaction: boolean;
+      /** The transaction has failed, too, and accepts only its end. */
+      readonly transactionFailed?: boolean;
       readonly position?: Position;
     };
 
