--- a/review/8/case.ts
+++ b/review/8/case.ts
@@ -2,23 +2,27 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { openSession } from '../lib-2/consumer';
 import type { Answer, Session } from '../lib-2/consumer';
-import { startFleet } from '../lib-2/fleet';
+import { splitNetwork, startFleet } from '../lib-2/fleet';
 import type { Machine } from '../lib-2/fleet';
 import { createManifest, DATABASES, SERVICE } from '../lib-2/manifest';
 import { startRecord } from '../lib-2/record';
 import { positionOf, startService } from '../lib-2/servers';
 import { startStore } from '../lib-2/store';
 
-/** Zones of kpdna-signage; the primary is the server of the first one. */
-const ZONES = ['ernakulam', 'kakkanad', 'aluva'] as const;
+/** The eight daemons of kpdna-signage by their zones; one server in each zone, the first one leads. */
+const ZONES = [
+  ...['ernakulam', 'ernakulam', 'ernakulam'],
+  ...['kakkanad', 'kakkanad', 'kakkanad'],
+  ...['aluva', 'aluva'],
+];
+const SERVER_ZONES = ['ernakulam', 'kakkanad', 'aluva'] as const;
 
-const CALM_MS = 5_000;
+/** This zone and the store are split from the primary, the other replica and five daemons. */
+const STORE_SIDE = 'kakkanad';
 
-/** Time from the start of the release until a replica goes deaf, and from then to the crash. */
-const DRAIN_FIRST_MS = 500;
-const DEAF_MS = 2_000;
-
-const AFTER_MS = 5_000;
+const CALM_MS = 6_000;
+const CUT_MS = 7_000;
+const AFTER_MS = 2_000;
 
 interface Write {
   readonly id: string;
@@ -51,7 +55,7 @@
   const store = startStore();
   const service = await startService(store, {
     name: SERVICE,
-    zones: ZONES,
+    zones: SERVER_ZONES,
     syncReplicas: 1,
     isFenced: true,
     promoteMs: 1_000,
@@ -61,18 +65,16 @@
     now: record.now,
     note: record.note,
   });
-  const [primary, staying, leaving] = service.servers;
-  if (!primary || !staying || !leaving) return 2;
   store.put('op/config', createManifest(7, 1));
   const fleet = await startFleet({
     store,
     service,
     zones: ZONES,
     isFenced: true,
-    hasLinks: false,
+    hasLinks: true,
     promote: (order) => {
       record.note(
-        `platform: order of ${order.holder}: ${order.id}, token ${order.token}; logs received: ${service.servers.map(({ id, log, isUp }) => `${id} ${isUp ? positionOf(log) : 'down'}`).join(', ')}`,
+        `platform: order of ${order.holder}: ${order.id}, token ${order.token}; logs: ${service.servers.map(({ id, log }) => `${id} ${positionOf(log)}`).join(', ')}`,
       );
       return service.promote(order.id);
     },
@@ -84,15 +86,15 @@
     }
     const consumers = fleet.machines.map((machine, at) => runConsumer(machine, `w${at}`));
     await pause(CALM_MS);
+    const isPrimarySide = (zone: string): boolean => zone !== STORE_SIDE;
+    if (hasTrouble) {
+      record.note(`primary_cut, split: ${STORE_SIDE} and the store lose the other zones`);
+      splitNetwork(fleet, service, isPrimarySide, true);
+    }
+    await pause(CUT_MS);
     if (hasTrouble) {
-      record.note(`release: ${leaving.id} reports draining`);
-      service.drain(leaving);
-      await pause(DRAIN_FIRST_MS);
-      record.note(`replica_lag: ${staying.id} receives nothing`);
-      staying.isDeaf = true;
-      await pause(DEAF_MS);
-      record.note(`replica_lag: ${primary.id} crashes; its log ends at ${positionOf(primary.log)}`);
-      service.crash(primary);
+      splitNetwork(fleet, service, isPrimarySide, false);
+      record.note('the zones reach each other again');
     }
     await pause(AFTER_MS);
     isStopping = true;
--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -1,84 +1,50 @@
-import net from 'node:net';
 import path from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
+import { openSession } from '../lib-2/consumer';
+import type { Answer, Session } from '../lib-2/consumer';
 import { startFleet } from '../lib-2/fleet';
 import type { Machine } from '../lib-2/fleet';
-import { HOST } from '../lib-2/links';
-import { createLineSplitter, splitWord } from '../lib-2/lines';
 import { createManifest, DATABASES, SERVICE } from '../lib-2/manifest';
 import { startRecord } from '../lib-2/record';
-import { startService } from '../lib-2/servers';
+import { positionOf, startService } from '../lib-2/servers';
 import { startStore } from '../lib-2/store';
 
+/** Zones of kpdna-signage; the primary is the server of the first one. */
 const ZONES = ['ernakulam', 'kakkanad', 'aluva'] as const;
 
-/** An answer of four rows within the limit of a message, over a link of 14 Mbit/s. */
-const ROW_BYTES = 1_048_000;
-const BYTES_PER_MS = 1_750;
+const CALM_MS = 5_000;
 
-/** Time from SIGTERM to the requests, in milliseconds. */
-const SENT_AFTER_MS = [1_950, 2_000, 2_050, 2_100] as const;
+/** Time from the start of the release until a replica goes deaf, and from then to the crash. */
+const DRAIN_FIRST_MS = 500;
+const DEAF_MS = 2_000;
 
-interface Reading {
+const AFTER_MS = 5_000;
+
+interface Write {
   readonly id: string;
-  readonly sentMs: number;
-  /** When the connection ended or the answer was complete. */
-  endedMs?: number;
-  bytes: number;
-  isComplete: boolean;
+  readonly daemon: string;
+  readonly answer: Answer;
 }
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const record = startRecord(path.join(process.argv[2] ?? '.', 'record.txt'));
+const writes: Write[] = [];
+let isStopping = false;
 
-/** Opens a session, and later reads one item over a slow link. */
-function openReader(
-  { daemon }: Machine,
-  id: string,
-): Promise<{ read: () => Promise<Reading>; close: () => void }> {
-  return new Promise((resolve, reject) => {
-    const socket = net.connect({ port: daemon.frontPort, host: HOST, noDelay: true });
-    let reading: Reading | undefined;
-    let finish: ((reading: Reading) => void) | undefined;
-    const settle = (): void => {
-      if (!reading || reading.endedMs !== undefined) return;
-      reading.endedMs = record.now();
-      finish?.(reading);
-    };
-    const split = createLineSplitter((line) => {
-      const [word] = splitWord(line);
-      if (word !== 'READY') return;
-      if (reading) {
-        reading.isComplete = true;
-        settle();
-        return;
-      }
-      resolve({
-        read: () =>
-          new Promise((done) => {
-            finish = done;
-            reading = { id, sentMs: record.now(), bytes: 0, isComplete: false };
-            record.note(`${daemon.name}: ${id} READ board, sent`);
-            socket.write(`QUERY ${id} READ board\r\n`);
-          }),
-        close: () => {
-          socket.destroy();
-        },
-      });
-    });
-    socket.on('data', (chunk) => {
-      if (reading) reading.bytes += chunk.length;
-      split(chunk);
-      socket.pause();
-      setTimeout(() => socket.resume(), chunk.length / BYTES_PER_MS);
-    });
-    socket.on('error', () => undefined);
-    socket.on('close', () => {
-      settle();
-      reject(new Error('the session did not open'));
-    });
-    socket.write(`STARTUP ${DATABASES.bounded} review\r\n`);
-  });
+/** A consumer that writes again and again. */
+async function runConsumer({ daemon }: Machine, name: string): Promise<void> {
+  let session: Session | undefined;
+  for (let count = 0; !isStopping; count += 1) {
+    await pause(100);
+    if (!session?.isOpen())
+      session = await openSession(daemon.frontPort, DATABASES.primary, record.now);
+    if (!session) continue;
+    const id = `${name}.${count}`;
+    const answer = await session.query(id, `WRITE slot ${id}`, 4_000);
+    writes.push({ id, daemon: daemon.name, answer });
+    record.note(`${daemon.name}: ${id} WRITE slot ${id}: ${answer.outcome}`);
+  }
+  session?.close();
 }
 
 async function main(): Promise<number> {
@@ -86,62 +52,76 @@
   const service = await startService(store, {
     name: SERVICE,
     zones: ZONES,
-    syncReplicas: 0,
+    syncReplicas: 1,
     isFenced: true,
     promoteMs: 1_000,
     lagMs: 60,
     slots: 3,
     beatMs: 1_200,
-    extraRows: () => ['w', 'x', 'y', 'z'].map((letter) => letter.repeat(ROW_BYTES)),
     now: record.now,
     note: record.note,
   });
-  store.put('op/config', createManifest(7, 0));
+  const [primary, staying, leaving] = service.servers;
+  if (!primary || !staying || !leaving) return 2;
+  store.put('op/config', createManifest(7, 1));
   const fleet = await startFleet({
     store,
     service,
     zones: ZONES,
     isFenced: true,
     hasLinks: false,
-    promote: ({ id }) => service.promote(id),
+    promote: (order) => {
+      record.note(
+        `platform: order of ${order.holder}: ${order.id}, token ${order.token}; logs received: ${service.servers.map(({ id, log, isUp }) => `${id} ${isUp ? positionOf(log) : 'down'}`).join(', ')}`,
+      );
+      return service.promote(order.id);
+    },
   });
   try {
-    const [machine] = fleet.machines;
-    if (!machine || !(await fleet.waitUntilReady())) {
+    if (!(await fleet.waitUntilReady())) {
       record.note('not all daemons are ready');
       return 2;
     }
-    await pause(3_000);
-    const readers = await Promise.all(SENT_AFTER_MS.map((_, at) => openReader(machine, `r${at}`)));
+    const consumers = fleet.machines.map((machine, at) => runConsumer(machine, `w${at}`));
+    await pause(CALM_MS);
     if (hasTrouble) {
-      record.note(`SIGTERM of ${machine.daemon.name}`);
-      machine.daemon.process.kill('SIGTERM');
-    }
-    const readings = await Promise.all(
-      readers.map(async (reader, at) => {
-        await pause(SENT_AFTER_MS[at] ?? 0);
-        return reader.read();
-      }),
-    );
-    for (const reader of readers) reader.close();
-    let lost = 0;
-    for (const { id, sentMs, endedMs = 0, bytes, isComplete } of readings) {
-      const run = service.runs.find((one) => one.id === id);
-      const state = isComplete ? 'complete' : 'cut off';
-      record.note(
-        `${id}: ${run ? `run at ${run.server}` : 'not run'}, ${bytes} bytes, ${state} ${Math.round(endedMs - sentMs)} ms after it was sent`,
-      );
-      if (!isComplete && run) lost += 1;
+      record.note(`release: ${leaving.id} reports draining`);
+      service.drain(leaving);
+      await pause(DRAIN_FIRST_MS);
+      record.note(`replica_lag: ${staying.id} receives nothing`);
+      staying.isDeaf = true;
+      await pause(DEAF_MS);
+      record.note(`replica_lag: ${primary.id} crashes; its log ends at ${positionOf(primary.log)}`);
+      service.crash(primary);
     }
-    const result = `${readings.length} answers, ${lost} of them cut off`;
-    record.note(result);
-    process.stdout.write(`${result}\n`);
-    return lost > 0 ? 1 : 0;
+    await pause(AFTER_MS);
+    isStopping = true;
+    await Promise.all(consumers);
+    return judge();
   } finally {
     await fleet.close();
     service.close();
     store.close();
   }
+
+  /** LOST: an acknowledged commit is not in the log of the server that is promoted. */
+  function judge(): number {
+    const acknowledged = writes.filter(({ answer }) => answer.outcome === 'COMPLETE');
+    const [promotion] = service.promotions;
+    const kept = new Set(promotion?.log.flatMap(({ ids }) => ids));
+    const lost = promotion
+      ? acknowledged.filter(({ id, answer }) => answer.answeredMs < promotion.atMs && !kept.has(id))
+      : [];
+    for (const { id, daemon, answer } of lost)
+      record.note(
+        `LOST: ${id} of ${daemon}, acknowledged at ${answer.answeredMs.toFixed(1)}, is not in the log of ${promotion?.server.id ?? ''}`,
+      );
+    const result = `${acknowledged.length} writes acknowledged, ${service.promotions.length} promotions, ${lost.length} acknowledged writes not in the log of the promoted server`;
+    record.note(result);
+    process.stdout.write(`${result}\n`);
+    if (acknowledged.length < 50) return 2;
+    return lost.length > 0 ? 1 : 0;
+  }
 }
 
 void main()
