--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -18,7 +18,14 @@
 const SECOND_SIDE = 'akaki';
 
 const CALM_MS = 14_000;
-const CUT_MS = 12_000;
+
+/** The store is silent for this time, and all leases run out meanwhile. */
+const DOWN_MS = 4_500;
+
+/** Pause from the end of the outage to the split. */
+const PAUSE_MS = 50;
+
+const CUT_MS = 7_000;
 const AFTER_MS = 3_000;
 
 /** A read of the one item, or a write to it, as its consumer saw it. */
@@ -93,6 +100,15 @@
     await pause(CALM_MS);
     const isFirstSide = (zone: string): boolean => zone !== SECOND_SIDE;
     if (hasTrouble) {
+      record.note('platform_down, silent lapse');
+      for (const { storeDoor } of fleet.machines) storeDoor.setCut(true);
+      service.setStoreReach(() => false);
+      store.lapse();
+      await pause(DOWN_MS);
+      record.note('the store is back');
+      for (const { storeDoor } of fleet.machines) storeDoor.setCut(false);
+      service.setStoreReach(() => true);
+      await pause(PAUSE_MS);
       record.note(`the zone ${SECOND_SIDE} and the store lose the other zones`);
       splitNetwork(fleet, service, isFirstSide, true);
     }
--- a/review/lib-2/store.ts
+++ b/review/lib-2/store.ts
@@ -8,6 +8,8 @@
   put: (key: string, fields: object) => void;
   remove: (key: string) => void;
   keys: (prefix: string) => readonly string[];
+  /** Ends all leases, with the keys that are bound to them. */
+  lapse: () => void;
   close: () => void;
 }
 
@@ -184,6 +186,9 @@
       revision += 1;
       drop(key);
     },
+    lapse: () => {
+      for (const id of [...leases.keys()]) endLease(id);
+    },
     keys: (prefix) => [...items.keys()].filter((key) => key.startsWith(prefix)),
     close: () => {
       clearInterval(leaseTimer);
