--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -1,14 +1,15 @@
 import path from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
-import { openSession } from '../lib-2/consumer';
-import type { Answer, Session } from '../lib-2/consumer';
-import { splitNetwork, startFleet } from '../lib-2/fleet';
-import type { Machine } from '../lib-2/fleet';
-import { createManifest, DATABASES, SERVICE } from '../lib-2/manifest';
-import { startRecord } from '../lib-2/record';
-import { containsCommit, startService } from '../lib-2/servers';
-import type { Commit } from '../lib-2/servers';
-import { startStore } from '../lib-2/store';
+import { openSession } from './lib/consumer';
+import type { Answer, Session } from './lib/consumer';
+import { splitNetwork, startFleet } from './lib/fleet';
+import type { Machine } from './lib/fleet';
+import { createManifest, DATABASES, SERVICE } from './lib/manifest';
+import { startRecord } from './lib/record';
+import { runCase } from './lib/runCase';
+import { containsCommit, startService } from './lib/servers';
+import type { Commit } from './lib/servers';
+import { startStore } from './lib/store';
 
 /** Zones of abay-smt, with its eight daemons and one server in each zone. */
 const ZONES = ['bole', 'bole', 'bole', 'akaki', 'akaki', 'akaki', 'kality', 'kality'] as const;
@@ -86,7 +87,6 @@
       return service.promote(order.id);
     },
   });
-  record.note(`logs of the daemons: in the temporary folder ${path.basename(fleet.folder)}`);
   try {
     if (!(await fleet.waitUntilReady())) {
       record.note('not all daemons are ready');
@@ -169,12 +169,4 @@
   }
 }
 
-void main()
-  .catch((error: unknown) => {
-    record.note(`the case could not run: ${String(error)}`);
-    return 2;
-  })
-  .then((code) => {
-    record.flush();
-    process.exit(code);
-  });
+runCase(record, main);
--- a/review/lib-2/daemons.ts
+++ b/review/6/lib/daemons.ts
@@ -37,10 +37,6 @@
 process.on('exit', () => {
   for (const child of children) child.kill('SIGKILL');
 });
-for (const signal of ['SIGTERM', 'SIGINT'] as const)
-  process.once(signal, () => {
-    process.exit(2);
-  });
 
 /** Starts a daemon with the command of the deploy file. */
 export function startDaemon(settings: DaemonSettings, isFirstStart: boolean): Daemon {
--- a/review/lib-2/fleet.ts
+++ b/review/6/lib/fleet.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync } from 'node:fs';
+import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -6,10 +6,8 @@
 import type { Daemon, DaemonSettings } from './daemons';
 import { startCloud } from './cloud';
 import type { Order } from './cloud';
-import { holdPorts, HOST, startPeerLink } from './links';
-import type { PeerLink } from './links';
-import { startTcpLink } from './links';
-import type { Link } from './links';
+import { holdPorts, HOST, startPeerLink, startTcpLink } from './links';
+import type { Link, PeerLink } from './links';
 import type { Server, Service } from './servers';
 import type { Door, SeeValue, Store } from './store';
 
@@ -57,6 +55,9 @@
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
   const { store, service, zones, isFenced } = options;
   const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
+  process.on('exit', () => {
+    rmSync(folder, { recursive: true, force: true });
+  });
   const cloud = startCloud(isFenced, options.promote);
   const { ports, release } = await holdPorts(PORTS * zones.length);
   const portsOf = zones.map((_, at) => ports.slice(PORTS * at, PORTS * (at + 1)));
--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -1,13 +1,14 @@
 import path from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
-import { openSession } from '../lib-2/consumer';
-import type { Answer, Session } from '../lib-2/consumer';
-import { startFleet } from '../lib-2/fleet';
-import type { Machine } from '../lib-2/fleet';
-import { createManifest, DATABASES, SERVICE } from '../lib-2/manifest';
-import { startRecord } from '../lib-2/record';
-import { startService } from '../lib-2/servers';
-import { startStore } from '../lib-2/store';
+import { openSession } from '../6/lib/consumer';
+import type { Answer, Session } from '../6/lib/consumer';
+import { startFleet } from '../6/lib/fleet';
+import type { Machine } from '../6/lib/fleet';
+import { createManifest, DATABASES, SERVICE } from '../6/lib/manifest';
+import { startRecord } from '../6/lib/record';
+import { runCase } from '../6/lib/runCase';
+import { startService } from '../6/lib/servers';
+import { startStore } from '../6/lib/store';
 
 const ZONES = ['bole', 'akaki', 'kality'] as const;
 
@@ -137,12 +138,4 @@
   return all.filter(({ answer }) => answer.outcome === 'COMPLETE').length;
 }
 
-void main()
-  .catch((error: unknown) => {
-    record.note(`the case could not run: ${String(error)}`);
-    return 2;
-  })
-  .then((code) => {
-    record.flush();
-    process.exit(code);
-  });
+runCase(record, main);
--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -1,13 +1,14 @@
 import path from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
-import { openSession } from '../lib-2/consumer';
-import type { Answer, Session } from '../lib-2/consumer';
-import { startFleet } from '../lib-2/fleet';
-import type { Machine } from '../lib-2/fleet';
-import { createManifest, DATABASES, SERVICE } from '../lib-2/manifest';
-import { startRecord } from '../lib-2/record';
-import { positionOf, startService } from '../lib-2/servers';
-import { startStore } from '../lib-2/store';
+import { openSession } from '../6/lib/consumer';
+import type { Answer, Session } from '../6/lib/consumer';
+import { startFleet } from '../6/lib/fleet';
+import type { Machine } from '../6/lib/fleet';
+import { createManifest, DATABASES, SERVICE } from '../6/lib/manifest';
+import { startRecord } from '../6/lib/record';
+import { runCase } from '../6/lib/runCase';
+import { positionOf, startService } from '../6/lib/servers';
+import { startStore } from '../6/lib/store';
 
 /** Zones of kpdna-signage; the primary is the server of the first one. */
 const ZONES = ['ernakulam', 'kakkanad', 'aluva'] as const;
@@ -124,12 +125,4 @@
   }
 }
 
-void main()
-  .catch((error: unknown) => {
-    record.note(`the case could not run: ${String(error)}`);
-    return 2;
-  })
-  .then((code) => {
-    record.flush();
-    process.exit(code);
-  });
+runCase(record, main);
