fix(direct): two primaries after an outage in which the daemons' entries lapse

Cause: a quorum was one of the directory as each daemon had read it. Entries are leases; a daemon whose entry was missing had no say. Orders were also sent at once when all listed and heard daemons had acknowledged a claim, and a restarted daemon, which had forgotten what it acknowledged, confirmed at once.

Change: the confirmers are a set with a version in the store. A set is applied with a view that is complete up to it, and so with all earlier claims. Reports name the version; a restarted daemon names none until it has read the claims or heard a quorum without itself.

--- a/packages/direct/__tests__/fencingRig.ts
+++ b/packages/direct/__tests__/fencingRig.ts
@@ -1,5 +1,5 @@
 import type { GroupLeadership } from '../src/index';
-import { createReport, createRig, openSession } from './rig';
+import { applyFleet, createReport, createRig, openSession } from './rig';
 import type { Rig } from './rig';
 
 /** The other daemons of the fleet of five. */
@@ -16,7 +16,7 @@
 /** A daemon of a fleet of five whose platform does not fence old primaries. */
 export function createUnfencedRig(): Rig {
   const rig = createRig({ promotionsFenced: false });
-  rig.engine.applyDirectory(['d1', ...OTHERS].map((name) => ({ name, failureDomain: 'a' })));
+  applyFleet(rig, ['d1', ...OTHERS]);
   hearOthers(rig, OTHERS, 400);
   openSession(rig, 's', 'bookings');
   openSession(rig, 'r', 'loops');
--- a/packages/direct/__tests__/modelDaemon.ts
+++ b/packages/direct/__tests__/modelDaemon.ts
@@ -219,6 +219,7 @@
         },
         closeSession: () => undefined,
         readClaimBasis: () => ({ era: 0, revision: 0, ageMs: 0 }),
+        viewAgeMs: () => 0,
         promote: (groupId, { target }) => {
           timeline.after(50 + random() * 300, () => {
             const result = inputs.promote(target) ? 'ordered' : 'unavailable';
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -115,6 +115,7 @@
     loads: [],
     groupLoads: [],
     leaderships: [],
+    confirms: 1,
     ...change,
   };
 }
@@ -251,6 +252,7 @@
       },
       closeSession: (session) => closedSessions.push(session),
       readClaimBasis: () => rig.claimBasis,
+      viewAgeMs: () => rig.claimBasis.ageMs,
       promote: (group, order) => {
         const { target, term } = order;
         orders.push(order);
@@ -349,6 +351,12 @@
   return rig;
 }
 
+/** Applies a directory, and the first set of confirmers with the same daemons. */
+export function applyFleet({ engine }: Rig, names: readonly string[]): void {
+  engine.applyDirectory(names.map((name) => ({ name, failureDomain: 'a' })));
+  engine.confirmersSeen({ version: 1, members: names });
+}
+
 /** Opens a session and returns its id. */
 export function openSession(rig: Rig, id: string, database: string, key?: string): string {
   const reason = rig.engine.openSession(id, database, key);
--- a/packages/direct/src/engine.ts
+++ b/packages/direct/src/engine.ts
@@ -12,7 +12,8 @@
 import { applyReply, loseConnection, handleOpened } from './connections';
 import { runDispatch } from './dispatch';
 import type { ExecutionHooks } from './requestFailures';
-import { applyLeaderships, hasQuorum, confirmersOf } from './fencing';
+import type { ConfirmerSet } from './confirmers';
+import { applyConfirmers, applyLeaderships, hasQuorum, proposeMembers } from './fencing';
 import { applyPromotionEnd, expectPrimary, mustOrder } from './failover';
 import { applyListed, applyPeerReport, isDirectoryFilling } from './fleet';
 import { recordDomainLoads, recordTotals } from './groupLoads';
@@ -110,6 +111,10 @@
   claimMissed: (group: GroupId, target: TargetId) => void;
   /** Applies leaderships that claims or another daemon name; the older primaries get no work. */
   leadershipsSeen: (leaderships: readonly GroupLeadership[]) => void;
+  /** Applies the set of confirmers of a complete view of the store. */
+  confirmersSeen: (set: ConfirmerSet) => void;
+  /** The next members of that set, where this daemon, at its `place` among the watchers, changes it. */
+  proposeMembers: (place: number) => readonly InstanceId[] | undefined;
   /** All claims in the store have been applied, as read at `sentAt` or later. */
   claimsRead: (sentAt: Millis) => void;
   /** All changes in the store up to `sentAt` have been applied, as read by this daemon itself. */
@@ -206,7 +211,6 @@
     },
     applyDirectory: (daemons) => {
       applyListed(world.fleet, daemons, clock.now());
-      world.fleet.confirmers = confirmersOf(daemons);
       world.fleet.watchers = watchersOf(daemons);
       world.fleet.samplers.clear();
       applyQuotaFleet(world);
@@ -284,9 +288,14 @@
       applyLeaderships(world, leaderships);
       dispatchPending();
     },
+    confirmersSeen: (set) => {
+      applyConfirmers(world, set);
+    },
+    proposeMembers: (place) => proposeMembers(world, place, clock.now()),
     claimsRead: (sentAt) => {
       if (sentAt <= world.timeJumpedAt) return;
       world.claimsReadAt = Math.max(world.claimsReadAt, sentAt);
+      world.fleet.knowsClaims = true;
       dispatchPending();
     },
     storeRead: (sentAt) => {
--- a/packages/direct/src/engineIo.ts
+++ b/packages/direct/src/engineIo.ts
@@ -63,6 +63,8 @@
   closeSession: (session: SessionId) => void;
   /** Returns what the local view of the store shows of a group's claims. */
   readClaimBasis: (group: GroupId) => ClaimBasis;
+  /** Age of the newest proof, of any daemon, that the local view of the store is complete. */
+  viewAgeMs: () => Millis;
   /** Claims a promotion and orders it; the result arrives as `promotionEnded`. */
   promote: (group: GroupId, order: PromotionOrder) => void;
   /** Requests samples from another daemon; a reply, if any, arrives as `samplesReceived`. */
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -1,4 +1,3 @@
-import murmurhash from 'murmurhash';
 import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
 import {
   mayOpen,
@@ -7,61 +6,117 @@
   sendOps,
   takeAnyConnection,
 } from './connections';
-import { confirmersToReplace, isCurrent, quorumOf, supersedes } from './leadership';
+import { hasSettled, nextMembers, quorumOf, SET_VALID_MS } from './confirmers';
+import type { ConfirmerSet } from './confirmers';
+import { listLateDaemons } from './fleet';
+import { confirmersToReplace, isCurrent, supersedes } from './leadership';
 import type { Leadership, OrderInputs } from './leadership';
-import type { GroupLeadership, ListedDaemon } from './peerReport';
+import type { GroupLeadership } from './peerReport';
 import type { GroupRow, TargetRow, World } from './tables';
 
-/** Confirmers of a large fleet; all daemons are confirmers of a fleet of at most this size. */
-const MAX_CONFIRMERS = 9;
-
 /** Interval at which a replaced primary is asked to step down until it does. */
 const STEP_DOWN_RETRY_MS: Millis = 100;
 
 /** A primary that has not stepped down by then is taken for unreachable. */
 const STEP_DOWN_LIMIT_MS: Millis = 5_000;
 
-/** The daemons whose reports confirm to the others that no newer claim stands. */
-export function confirmersOf(daemons: readonly ListedDaemon[]): readonly ListedDaemon[] {
-  if (daemons.length <= MAX_CONFIRMERS) return daemons;
-  const ranked = daemons.map((daemon) => ({ daemon, hash: murmurhash.v3(daemon.name) }));
-  ranked.sort((a, b) => a.hash - b.hash);
-  return ranked.slice(0, MAX_CONFIRMERS).map(({ daemon }) => daemon);
+/** Applies the set of confirmers of a complete view of the store, unless a newer one is known. */
+export function applyConfirmers(world: World, set: ConfirmerSet): void {
+  const { fleet, clock } = world;
+  if (set.version <= (fleet.confirmers?.set.version ?? 0)) return;
+  fleet.confirmers = { set, since: clock.now(), isSettled: set.previous === undefined };
+  const { version, members } = set;
+  world.io.log({ type: 'confirmers_changed', version, members: members.join(' ') });
 }
 
 /** True when this daemon's reports go to every other daemon. */
 export function isConfirmer(world: World): boolean {
-  return world.fleet.confirmers.some(({ name }) => name === world.self.name);
+  return world.fleet.confirmers?.set.members.includes(world.self.name) ?? false;
+}
+
+/**
+ * Reviews what this daemon knows of the confirmers; called each tick. A process that has just started
+ * may have acknowledged claims in its earlier life. It knows them once it has read the claims in the
+ * store, or has heard a quorum without itself: one of that quorum has acknowledged each of them, too.
+ */
+export function reviewConfirmers(world: World, now: Millis): void {
+  const { fleet, self } = world;
+  const known = fleet.confirmers;
+  if (!known) return;
+  const { set, since } = known;
+  const others = set.members.filter((name) => name !== self.name);
+  if (!fleet.knowsClaims && countConfirming(world, others, now) >= quorumOf(set.members.length))
+    fleet.knowsClaims = true;
+  if (known.isSettled) return;
+  const consenting = (set.previous ?? []).filter((name) => {
+    if (name === self.name) return fleet.knowsClaims;
+    return (fleet.peers.get(name)?.report.confirms ?? 0) >= set.version;
+  });
+  known.isSettled = hasSettled({ set, consenting: consenting.length, knownMs: now - since });
+}
+
+/** The version of the set that this daemon's reports name; undefined while they confirm nothing. */
+export function confirmedVersion({ fleet }: World): number | undefined {
+  return fleet.knowsClaims ? fleet.confirmers?.set.version : undefined;
+}
+
+/** The members that the set of confirmers has to get now, if this daemon is to change it. */
+export function proposeMembers(
+  world: World,
+  place: number,
+  now: Millis,
+): readonly InstanceId[] | undefined {
+  const { confirmers, listed, namesSince, peers, unlistedSince } = world.fleet;
+  const names = new Set(listed.map(({ name }) => name));
+  return nextMembers({
+    known: confirmers,
+    listed: [...names],
+    unchangedMs: now - namesSince,
+    viewAgeMs: world.io.viewAgeMs(),
+    missingMs: (name) => {
+      if (names.has(name) || peers.has(name)) return 0;
+      return now - Math.max(unlistedSince.get(name) ?? 0, confirmers?.since ?? 0);
+    },
+    place,
+  });
 }
 
 /** True when a quorum of confirmers has reported within the time of a lease, this daemon included. */
 export function hasQuorum(world: World, now: Millis): boolean {
+  const members = membersInForce(world);
+  return members !== undefined && countConfirming(world, members, now) >= quorumOf(members.length);
+}
+
+/** The confirmers; undefined while none are known, or others may have replaced them unnoticed. */
+function membersInForce(world: World): readonly InstanceId[] | undefined {
   const { confirmers } = world.fleet;
-  return confirmers.length > 0 && countHeard(world, now) >= quorumOf(confirmers.length);
+  return confirmers && world.io.viewAgeMs() < SET_VALID_MS ? confirmers.set.members : undefined;
 }
 
 /**
- * Confirmers that have reported within the time of a lease, this daemon included. One without a
- * configuration has just started and keeps no claims.
+ * Daemons among `names` that have reported within the time of a lease and know the claims, this one
+ * included. A report of a newer set does not count: its sender may have confirmed a claim by that set.
  */
-function countHeard(world: World, now: Millis): number {
-  const { confirmers, peers } = world.fleet;
-  const heard = confirmers.filter(({ name }) => {
-    if (name === world.self.name) return true;
+function countConfirming(world: World, names: readonly InstanceId[], now: Millis): number {
+  const { peers, confirmers, knowsClaims } = world.fleet;
+  const version = confirmers?.set.version ?? 0;
+  const heard = names.filter((name) => {
+    if (name === world.self.name) return knowsClaims;
     const peer = peers.get(name);
     if (!peer || peer.report.config === 0) return false;
+    const { confirms = 0 } = peer.report;
+    if (confirms === 0 || confirms > version) return false;
     return now - peer.at < world.settings.leadershipLeaseMs;
   });
   return heard.length;
 }
 
 /** Confirmers that may replace the primary of a group; see `confirmersToReplace`. */
-function confirmersNeeded(world: World, group: GroupRow, now: Millis): number {
-  const { confirmers, namesSince, storeReadAt } = world.fleet;
+function confirmersNeeded(world: World, group: GroupRow, confirmers: number, now: Millis): number {
+  const { storeReadAt } = world.fleet;
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   return confirmersToReplace({
-    confirmers: confirmers.length,
-    sameDirectoryMs: storeReadAt - Math.max(namesSince, world.timeJumpedAt),
+    confirmers,
     unrenewedMs: storeReadAt - (primary?.renewedAt ?? storeReadAt),
     renewalMs: group.renewalMs.value,
     storeReadAgeMs: now - storeReadAt,
@@ -75,8 +130,11 @@
  */
 export function mayClaim(world: World, group: GroupRow, now: Millis): boolean {
   if (world.settings.promotionsFenced) return true;
-  if (world.fleet.confirmers.length === 0) return false;
-  return countHeard(world, now) >= confirmersNeeded(world, group, now);
+  const members = membersInForce(world);
+  if (members === undefined || world.fleet.confirmers?.isSettled !== true) return false;
+  return (
+    countConfirming(world, members, now) >= confirmersNeeded(world, group, members.length, now)
+  );
 }
 
 /**
@@ -202,34 +260,31 @@
 
 /**
  * Progress of a claimed promotion towards its order. A daemon that reports counts although its entry
- * in the directory is lost: it still serves callers.
+ * in the directory is lost, and so does one that was listed of late: it may still serve callers.
  */
 export function orderProgress(
   world: World,
   group: GroupId,
   acknowledgedBy: ReadonlySet<InstanceId>,
-): Pick<
-  OrderInputs,
-  | 'steppedDown'
-  | 'daemons'
-  | 'acknowledged'
-  | 'confirmers'
-  | 'acknowledgedConfirmers'
-  | 'confirmersNeeded'
-> {
-  const { listed, confirmers, peers } = world.fleet;
+): Omit<OrderInputs, 'sinceQuorumMs' | 'fenceWaitMs'> {
+  const { confirmers, listed, peers } = world.fleet;
+  const now = world.clock.now();
   const row = world.groups.get(group);
-  const names = new Set([...listed.map(({ name }) => name), ...peers.keys()]);
+  const members = membersInForce(world) ?? [];
+  const listedNames = listed.map(({ name }) => name);
+  const late = listLateDaemons(world.fleet, now);
+  const names = new Set([...members, ...listedNames, ...late, ...peers.keys()]);
   const hasAcknowledged = (name: InstanceId): boolean =>
     name === world.self.name || acknowledgedBy.has(name);
   return {
     steppedDown: row?.replaced?.ledNewest === true && row.replaced.steppedDown,
     daemons: names.size,
     acknowledged: [...names].filter(hasAcknowledged).length,
-    confirmers: confirmers.length,
-    acknowledgedConfirmers: confirmers.filter(({ name }) => hasAcknowledged(name)).length,
+    confirmers: members.length,
+    acknowledgedConfirmers: members.filter(hasAcknowledged).length,
     confirmersNeeded: row
-      ? confirmersNeeded(world, row, world.clock.now())
-      : quorumOf(confirmers.length),
+      ? confirmersNeeded(world, row, members.length, now)
+      : quorumOf(members.length),
+    isSetSettled: confirmers?.isSettled === true,
   };
 }
--- a/packages/direct/src/fleet.ts
+++ b/packages/direct/src/fleet.ts
@@ -1,4 +1,4 @@
-import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
+import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
 import { hearConfigVersion } from './newerConfig';
 import type { FleetRow, ListedDaemon, PeerReport, TargetLoad } from './peerReport';
 import type { World } from './tables';
@@ -9,7 +9,8 @@
     peers: new Map(),
     totals: new Map(),
     listed: [],
-    confirmers: [],
+    unlistedSince: new Map(),
+    knowsClaims: false,
     watchers: new Set(),
     names: [],
     namesSince: -Infinity,
@@ -21,8 +22,15 @@
   };
 }
 
+/** Time for which a daemon that is no longer listed is remembered. */
+const UNLISTED_MEMORY_MS: Millis = 20_000;
+
 /** Applies the directory; `names` changes only when a daemon comes or goes. */
 export function applyListed(fleet: FleetRow, daemons: readonly ListedDaemon[], now: Millis): void {
+  for (const { name } of fleet.listed) fleet.unlistedSince.set(name, now);
+  for (const { name } of daemons) fleet.unlistedSince.delete(name);
+  for (const [name, since] of fleet.unlistedSince)
+    if (now - since > UNLISTED_MEMORY_MS) fleet.unlistedSince.delete(name);
   fleet.listed = daemons;
   const { names } = fleet;
   const isSame =
@@ -32,6 +40,13 @@
   fleet.namesSince = now;
 }
 
+/** Daemons that have been missing from the directory for a short time only. */
+export function listLateDaemons(fleet: FleetRow, now: Millis): InstanceId[] {
+  return [...fleet.unlistedSince].flatMap(([name, since]) =>
+    now - since <= UNLISTED_MEMORY_MS ? [name] : [],
+  );
+}
+
 /** Applies another daemon's report, which replaces its previous one. */
 export function applyPeerReport(world: World, report: PeerReport, now: Millis): void {
   const { peers } = world.fleet;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,6 +1,8 @@
 /** The direct engine: a daemon that serves its callers over its own connections to the targets. */
 export * from './admission';
 export * from './configuration';
+export { hasSettled, nextMembers, quorumOf } from './confirmers';
+export type { ConfirmerSet, KnownSet, MembershipInputs, SettleInputs } from './confirmers';
 export * from './connectionShare';
 export * from './engine';
 export { mayDeny, nextFreshnessStep, provenAtWith } from './freshness';
--- a/packages/direct/src/leadership.ts
+++ b/packages/direct/src/leadership.ts
@@ -1,4 +1,5 @@
 import type { Millis, TargetId } from '@rosedeck/shared';
+import { quorumOf } from './confirmers';
 
 /**
  * The leadership of a group that a daemon knows to be the newest: proven by a target, or claimed
@@ -44,22 +45,17 @@
   readonly acknowledgedConfirmers: number;
   /** Confirmers without which no daemon has a quorum; see `confirmersToReplace`. */
   readonly confirmersNeeded: number;
+  /** No daemon can have a quorum of an older set of confirmers. */
+  readonly isSetSettled: boolean;
   /** Time since enough confirmers have acknowledged it; 0 while they have not. */
   readonly sinceQuorumMs: Millis;
   /** Time after which no daemon that missed the claim still uses the old primary. */
   readonly fenceWaitMs: Millis;
 }
 
-/** Confirmers that make a quorum. */
-export function quorumOf(confirmers: number): number {
-  return Math.floor(confirmers / 2) + 1;
-}
-
 /** Inputs of the decision how many confirmers may replace a primary. */
 export interface ReplacementInputs {
   readonly confirmers: number;
-  /** Time up to the last own read of the store for which the directory had named the same daemons. */
-  readonly sameDirectoryMs: Millis;
   /** Time up to that read for which the primary had not renewed its entry in the store. */
   readonly unrenewedMs: Millis;
   /** Usual interval of the renewals. */
@@ -68,9 +64,6 @@
   readonly storeReadAgeMs: Millis;
 }
 
-/** Time after which the directories of daemons with contact to the store agree: an entry's lifetime. */
-const SAME_DIRECTORY_MS: Millis = 12_000;
-
 /** Renewals that a primary has missed once it no longer reaches the store. */
 const MISSED_RENEWALS = 2;
 
@@ -81,14 +74,12 @@
  * Confirmers that may replace a primary. Load pattern: a network partition leaves each side half of
  * the confirmers, so that nobody has a quorum and nobody may use the primary. The side with the store
  * then replaces a primary that no longer reaches it: no quorum is left without half of the confirmers.
- * This holds only where both sides count the same daemons.
  */
 export function confirmersToReplace(inputs: ReplacementInputs): number {
-  const { confirmers, sameDirectoryMs, unrenewedMs, renewalMs, storeReadAgeMs } = inputs;
+  const { confirmers, unrenewedMs, renewalMs, storeReadAgeMs } = inputs;
   const holdsStore =
     storeReadAgeMs <= STORE_READ_MAX_AGE_MS && unrenewedMs >= renewalMs * MISSED_RENEWALS;
-  if (!holdsStore || sameDirectoryMs < SAME_DIRECTORY_MS) return quorumOf(confirmers);
-  return Math.ceil(confirmers / 2);
+  return holdsStore ? Math.ceil(confirmers / 2) : quorumOf(confirmers);
 }
 
 /**
@@ -96,13 +87,13 @@
  * Load pattern: a network partition leaves some daemons with the old primary, and their callers keep
  * writing to it. The order waits until no daemon answers such a write with success: the old primary
  * has stepped down, every daemon has acknowledged the claim, or a quorum has and the leases of the
- * others have expired.
+ * others have expired. A daemon that is not listed says nothing about whether it runs: `daemons`
+ * counts the confirmers and all that were listed or heard of late.
  */
 export function mayOrder(inputs: OrderInputs): boolean {
   if (inputs.steppedDown) return true;
-  // An empty directory says nothing about the daemons that run.
-  if (inputs.daemons > 0 && inputs.acknowledged >= inputs.daemons) return true;
-  if (inputs.confirmers === 0) return false;
+  if (inputs.confirmers === 0 || !inputs.isSetSettled) return false;
+  if (inputs.acknowledged >= inputs.daemons) return true;
   if (inputs.acknowledgedConfirmers < inputs.confirmersNeeded) return false;
   return inputs.sinceQuorumMs >= inputs.fenceWaitMs;
 }
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -282,4 +282,11 @@
     }
   | { readonly type: 'time_jumped'; readonly byMs: Millis }
   | { readonly type: 'drain_started'; readonly sessions: number }
+  | {
+      /** This daemon has learned of another set of confirmers. */
+      readonly type: 'confirmers_changed';
+      readonly version: number;
+      /** Names, separated by blanks. */
+      readonly members: string;
+    }
   | { readonly type: 'peer_heard' | 'peer_silent'; readonly peer: InstanceId };
--- a/packages/direct/src/ownReport.ts
+++ b/packages/direct/src/ownReport.ts
@@ -1,5 +1,5 @@
 import type { GroupId, Millis, TargetId } from '@rosedeck/shared';
-import { listLeaderships } from './fencing';
+import { confirmedVersion, listLeaderships } from './fencing';
 import { listDomainLoads, ownLoads } from './groupLoads';
 import type { PeerReport } from './peerReport';
 import { isScarce } from './samplers';
@@ -30,5 +30,6 @@
     loads,
     groupLoads: listDomainLoads(world),
     leaderships: listLeaderships(world),
+    confirms: confirmedVersion(world),
   };
 }
--- a/packages/direct/src/peerReport.ts
+++ b/packages/direct/src/peerReport.ts
@@ -6,6 +6,7 @@
   Position,
   TargetId,
 } from '@rosedeck/shared';
+import type { KnownSet } from './confirmers';
 import type { Leadership } from './leadership';
 
 /** A daemon's opinion of a group's primary. */
@@ -77,6 +78,8 @@
   readonly leaderships: readonly GroupLeadership[];
   /** Highest fencing tokens known to the sender, of some of its groups; absent: none. */
   readonly tokens?: readonly GroupToken[];
+  /** Version of the set of confirmers that the sender knows; absent: it confirms nothing. */
+  readonly confirms?: number;
 }
 
 /** The highest fencing token that a daemon knows for a group. */
@@ -132,8 +135,12 @@
   readonly totals: Map<TargetId, TargetLoad>;
   /** Daemons in the platform's directory, this one included. */
   listed: readonly ListedDaemon[];
-  /** Those of them whose reports go to every daemon; see `confirmersOf`. */
-  confirmers: readonly ListedDaemon[];
+  /** Since when daemons that the directory named of late have been missing from it. */
+  readonly unlistedSince: Map<InstanceId, Millis>;
+  /** The confirmers, where the platform does not fence promotions; absent: none are known yet. */
+  confirmers?: KnownSet;
+  /** Whether this daemon knows each claim that an earlier process of its name may have acknowledged. */
+  knowsClaims: boolean;
   /** Those of them that watch the store; see `watchersOf`. */
   watchers: ReadonlySet<InstanceId>;
   /** Names of `listed`; another list only when a daemon comes or goes. */
--- a/packages/direct/src/tick.ts
+++ b/packages/direct/src/tick.ts
@@ -5,6 +5,7 @@
 import { expireRunning } from './requestFailures';
 import type { ExecutionHooks } from './requestFailures';
 import { runFailover } from './failover';
+import { reviewConfirmers } from './fencing';
 import { expirePeers } from './fleet';
 import { trackLease } from './isolation';
 import { keepsOwnConnection } from './samplers';
@@ -80,6 +81,7 @@
     expirePeers(world, now);
   });
   runSystem(world, 'lease', () => {
+    reviewConfirmers(world, now);
     trackLease(world, now);
   });
   runSystem(world, 'sampling', () => {
