fix(direct): a claimed term that never begins left a group without a primary

Cause: a claim ends the use of the old primary, but its order may never take effect. The old primary then leads its old term. It was asked to step down only by daemons that remembered it, which a second claim, 5 s or a restart ended, and promotions could choose it: an order for the present primary changes nothing.

Change: in each promotion, a target that reports to lead a term which a newer claim has ended is asked to step down, and is a candidate only as a replica. The promotion waits for that up to a second, since its log may be the newest one.

--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,7 +1,7 @@
 import { formatPosition, positionOrd } from '@rosedeck/shared';
 import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './eligibility';
-import { driveStepDown, mayClaim, mayUsePrimary } from './fencing';
+import { demoteOutdated, driveStepDown, mayClaim, mayUsePrimary } from './fencing';
 import { countOpinions } from './fleet';
 import type { Opinions } from './fleet';
 import { isCurrent } from './leadership';
@@ -31,6 +31,9 @@
 /** Time in which the samplers of a group replace its primary, before other daemons start to. */
 const SAMPLERS_FIRST_MS: Millis = 2_000;
 
+/** Time in which a target that leads an outdated term steps down, before another one is chosen. */
+const STEP_DOWN_WAIT_MS: Millis = 1_000;
+
 /** A replica that has not received a position of this age counts as not receiving. */
 const MAX_RECEIVE_LAG_MS: Millis = 500;
 
@@ -223,9 +226,13 @@
     .filter((target) => now - target.rejectedAt > REJECTED_MS);
   for (const target of surveyed)
     if (!hasStatus(target, promotion)) requestStatus(world, target, now);
+  demoteOutdated(world, group, now);
   const candidates = surveyed.map((target) => describeCandidate(target, promotion));
   const isComplete = candidates.every((one) => one.reply === 'status' || one.failing);
-  if (!isComplete && now - promotion.startedAt < settings.statusWaitMs) return;
+  const surveyMs = now - promotion.startedAt;
+  if (!isComplete && surveyMs < settings.statusWaitMs) return;
+  // Its log may be the newest.
+  if (candidates.some((one) => one.isLeading) && surveyMs < STEP_DOWN_WAIT_MS) return;
   const obsoleteCause = findObsoleteCause(world, group, primary, promotion, now);
   if (obsoleteCause !== undefined) {
     // The others' opinions may change back, while a proof of the primary stands.
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -216,6 +216,25 @@
   if (sendStepDown(world, target, newest.term, now)) replaced.askedAt = now;
 }
 
+/**
+ * Asks targets that lead an older term than the newest leadership to step down. No daemon uses them,
+ * and an order for one that still leads changes nothing, so that the newest term would never begin.
+ */
+export function demoteOutdated(world: World, group: GroupRow, now: Millis): void {
+  const { newest } = group;
+  if (!newest) return;
+  for (const target of group.targets.values()) {
+    if (!leadsOutdatedTerm(target) || now - target.stepDownAskedAt < STEP_DOWN_RETRY_MS) continue;
+    if (sendStepDown(world, target, newest.term, now)) target.stepDownAskedAt = now;
+  }
+}
+
+/** Whether a target reports that it leads, in a term that a newer leadership has ended. */
+export function leadsOutdatedTerm({ status, group, listed }: TargetRow): boolean {
+  if (group.newest === undefined || status?.report.role !== 'primary') return false;
+  return !isCurrent(group.newest, status.report.term, listed.id);
+}
+
 function sendStepDown(world: World, target: TargetRow, term: number, now: Millis): boolean {
   const connection = takeAnyConnection(target, now);
   if (!connection) {
@@ -225,8 +244,10 @@
   sendOps(world, connection, [
     [
       { op: 'stepDown', term },
-      (reply) => {
+      (reply, sent) => {
         const { group } = target;
+        if (reply.kind === 'done' && reply.status && sent.sentAt >= (target.status?.at ?? 0))
+          target.status = { report: reply.status, at: sent.sentAt };
         const stopped = reply.kind === 'done' && reply.status?.role === 'replica';
         if (stopped && group.replaced?.target === target.listed.id)
           group.replaced.steppedDown = true;
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -79,16 +79,21 @@
    */
   readonly reply?: 'status' | 'position';
   readonly failing: boolean;
+  /** It leads an outdated term: it can be promoted once it has stepped down. */
+  readonly isLeading?: boolean;
 }
 
 /**
  * Chooses the replica with the newest log, among those that have replied; ties go to one that has sent
- * its status. A leaving replica is only chosen when all are leaving, a failing one never.
+ * its status. A leaving replica is only chosen when all are leaving, a failing one never, nor one that
+ * still leads: ordering it changes nothing.
  */
 export function chooseCandidate(
   candidates: readonly PromotionCandidate[],
 ): PromotionCandidate | undefined {
-  const fit = candidates.filter((one) => !one.failing && one.reply !== undefined);
+  const fit = candidates.filter(
+    (one) => !one.failing && one.isLeading !== true && one.reply !== undefined,
+  );
   const staying = fit.filter((one) => !one.leaving);
   const pool = staying.length > 0 ? staying : fit;
   return pool.reduce<PromotionCandidate | undefined>(
--- a/packages/direct/src/promotionSurvey.ts
+++ b/packages/direct/src/promotionSurvey.ts
@@ -1,5 +1,6 @@
 import { formatPosition } from '@rosedeck/shared';
 import type { Millis } from '@rosedeck/shared';
+import { leadsOutdatedTerm } from './fencing';
 import { newestEffective } from './promotionHistory';
 import type { KnownHistory } from './promotionHistory';
 import type { PromotionCandidate } from './promotionPolicy';
@@ -11,10 +12,15 @@
   return status !== undefined && status.at >= promotion.startedAt;
 }
 
-/** A target that reports to be the primary of a later term: this daemon has missed a promotion. */
+/**
+ * A target that reports to be the primary of a later term: this daemon has missed a promotion. One whose
+ * term a newer claim has ended is none.
+ */
 export function findOtherPrimary(group: GroupRow, promotion: Promotion): TargetRow | undefined {
-  return [...group.targets.values()].find(({ listed, status }) => {
+  return [...group.targets.values()].find((row) => {
+    const { listed, status } = row;
     if (!status || listed.id === group.primary || status.at < promotion.startedAt) return false;
+    if (leadsOutdatedTerm(row)) return false;
     return status.report.role === 'primary' && status.report.term > group.term;
   });
 }
@@ -26,6 +32,7 @@
     id: listed.id,
     leaving: leavingSince !== undefined,
     failing: failingSince !== undefined,
+    isLeading: leadsOutdatedTerm(target),
   };
   if (status && hasStatus(target, promotion))
     return { ...common, received: status.report.received, reply: 'status' };
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -143,6 +143,8 @@
   status?: { readonly report: TargetStatus; readonly at: Millis };
   /** When its status was last requested for a promotion. */
   statusRequestedAt: Millis;
+  /** When it was last asked to step down as one that leads an outdated term. */
+  stepDownAskedAt: Millis;
   /** Applied position in the newest reply, with the time at which the operation was sent. */
   lastPosition?: { readonly position: Position; readonly sentAt: Millis };
   readonly rating: LatencyRating;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -160,6 +160,7 @@
     probedAt: -Infinity,
     rejectedAt: -Infinity,
     statusRequestedAt: -Infinity,
+    stepDownAskedAt: -Infinity,
   };
   group.targets.set(listed.id, row);
   world.targets.set(listed.id, row);
