fix(direct): promotions passed over logs that may have acknowledged commits

Cause: a promotion chose the best log among the targets that replied; those that failed, were leaving for long or were not listed counted as having nothing. The configuration's SyncReplicas was not read.

Change: where commits wait for n replicas, all logs of the group but n have to be known, also those of draining and unlisted targets, and the candidate covers them. The other replicas are paused first, so that what they hold is final and the primary can acknowledge nothing that the candidate lacks; they resume when the promotion has taken effect or been given up, also after the daemon that paused them was killed. A server that rejects PAUSE counts as it is. A target that is gone is not awaited once the candidate covers a sample that the primary gave after that. Work for the primary is refused at once meanwhile, and promotion_awaits names the logs that are awaited.

--- a/packages/direct/__tests__/fakeTarget.ts
+++ b/packages/direct/__tests__/fakeTarget.ts
@@ -19,6 +19,12 @@
   losesBegins: boolean;
   /** Replies to `status` with `-` in place of a position, as for an empty log. */
   hidesReceived: boolean;
+  /** Term at which it is paused; 0: it receives. */
+  held: number;
+  /** Rejects `pause` and `resume`. */
+  rejectsPause: boolean;
+  /** It receives nothing from the primary. */
+  isDeaf: boolean;
   /** Never replies to `status`. */
   ignoresStatus: boolean;
   /** Time that a reply to `status` takes. */
@@ -79,6 +85,9 @@
     dropsReplies: false,
     losesBegins: false,
     hidesReceived: false,
+    held: 0,
+    rejectsPause: false,
+    isDeaf: false,
     ignoresStatus: false,
     statusMs: 0,
     forgetsPrepared: false,
@@ -157,6 +166,14 @@
   if (op.op === 'prepare') connection.prepared.set(op.name, op);
   if (op.op === 'close') connection.prepared.delete(op.name);
   if (op.op === 'stepDown' && target.term < op.term) target.role = 'replica';
+  if (op.op === 'pause' || op.op === 'resume') {
+    if (target.rejectsPause) {
+      reply(failedReply(target, connection, 'malformed'));
+      return;
+    }
+    if (op.op === 'resume') target.held = 0;
+    else if (target.role === 'replica' && op.term > target.term) target.held = op.term;
+  }
   if (op.op === 'status' && target.ignoresStatus) return;
   if (op.op === 'status' && target.hidesReceived) {
     reply(doneReply(target, connection, [`${target.role} ${target.term} - 0 0 0 1`]));
@@ -169,11 +186,15 @@
     });
     return;
   }
-  const status = { role: target.role, term: target.term, received: target.received };
+  const { role, term, received, held } = target;
+  const status = { role, term, received, held };
   const answer = doneReply(target, connection);
-  reply(op.op === 'status' || op.op === 'stepDown' ? { ...answer, status } : answer);
+  reply(STATUS_OPS.has(op.op) ? { ...answer, status } : answer);
 }
 
+/** Operations that are answered with the status. */
+const STATUS_OPS: ReadonlySet<TargetOp['op']> = new Set(['status', 'stepDown', 'pause', 'resume']);
+
 function doneReply(
   target: FakeTarget,
   connection: FakeConnection,
@@ -192,7 +213,7 @@
 function failedReply(
   target: FakeTarget,
   connection: FakeConnection,
-  code: 'read_only' | 'behind' | 'busy' | 'unknown_prepared',
+  code: 'read_only' | 'behind' | 'busy' | 'unknown_prepared' | 'malformed',
 ): TargetReply {
   const { inTransaction } = connection;
   return { kind: 'failed', code, detail: '', inTransaction, position: { ...target.applied } };
--- a/packages/direct/__tests__/rig.ts
+++ b/packages/direct/__tests__/rig.ts
@@ -173,7 +173,7 @@
   };
   const replicate = (from: FakeTarget): void => {
     for (const other of targets) {
-      if (other === from || other.role === 'primary') continue;
+      if (other === from || other.role === 'primary' || other.isDeaf || other.held > 0) continue;
       const position = from.received;
       other.received = position;
       schedule(60, () => {
@@ -320,6 +320,7 @@
       for (const one of targets) {
         one.role = one === target ? 'primary' : 'replica';
         one.term = term;
+        one.held = 0;
       }
       target.received = { term, index: target.received.index };
       target.applied = target.received;
--- a/packages/direct/src/configuration.ts
+++ b/packages/direct/src/configuration.ts
@@ -26,6 +26,8 @@
 export interface GroupLimits {
   /** Connections that one target accepts from all daemons together. */
   readonly connectionLimit: number;
+  /** Replicas that have received a commit before it is acknowledged; absent: 0. */
+  readonly syncReplicas?: number;
 }
 
 /** One version of the operators' configuration. */
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -199,7 +199,7 @@
 function canAnswer(reply: TargetReply, op: TargetOp['op']): boolean {
   if (reply.kind === 'failed') return true;
   // The row of a target whose log is empty is no status, since it names no position.
-  if (op === 'status' || op === 'stepDown')
+  if (op === 'status' || op === 'stepDown' || op === 'pause' || op === 'resume')
     return reply.status !== undefined || reply.rows.length > 0;
   if (op === 'begin' && !reply.inTransaction) return false;
   return (op === 'run') === (reply.digest !== NO_DIGEST);
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,13 +1,16 @@
 import { formatPosition, positionOrd } from '@rosedeck/shared';
 import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './eligibility';
-import { demoteOutdated, driveStepDown, mayClaim, mayUsePrimary } from './fencing';
+import { demoteOutdated, driveStepDown, mayClaim } from './fencing';
 import { countOpinions } from './fleet';
 import type { Opinions } from './fleet';
-import { isCurrent } from './leadership';
 import { probeTargets, requestStatus } from './primaryProbes';
+import { reviewPauses } from './pauses';
 import { presumePrimary, reviewPrimary } from './primaryTracking';
+import type { LogVerdict } from './logSafety';
 import { limitChain, mayHoldDiscarded } from './promotionHistory';
+import { reviewLogs } from './promotionLogs';
+import { detectPrimaryFailure, isOutdated, trackContested } from './primaryFailure';
 import { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
 import type { PromotionCandidate } from './promotionPolicy';
 import {
@@ -44,6 +47,7 @@
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
   detectPrimaryFailure(world, group, primary, now);
   driveStepDown(world, group, now);
+  reviewPauses(world, group, now);
   probeTargets(world, group, primary, now);
   expireExpectedPrimary(world, group, now);
   if (group.promotion) {
@@ -62,50 +66,6 @@
     presumePrimary(world, group, expected.target);
 }
 
-function detectPrimaryFailure(
-  world: World,
-  group: GroupRow,
-  primary: TargetRow | undefined,
-  now: Millis,
-): void {
-  const { settings } = world;
-  const failingMs = primary?.failingSince === undefined ? 0 : now - primary.failingSince;
-  const isRefusing = primary?.lastFailure === 'refused' || primary?.lastFailure === 'wrong_target';
-  const limitMs = isRefusing ? settings.suspectRefusedMs : settings.suspectSilentMs;
-  const suspected =
-    primary !== undefined && failingMs >= limitMs && primary.failures > 1
-      ? primary.listed.id
-      : undefined;
-  if (!primary || primary.failingSince !== undefined || isOutdated(group))
-    group.primaryDownSince ??= primary?.failingSince ?? now;
-  else group.primaryDownSince = undefined;
-  if (mayUsePrimary(world, group, now)) group.unusableSince = undefined;
-  else group.unusableSince ??= now;
-  if (suspected === group.suspectedPrimary) return;
-  const subject = suspected ?? group.suspectedPrimary ?? '';
-  group.suspectedPrimary = suspected;
-  world.groupsToDispatch.add(group);
-  world.io.log({
-    type: suspected === undefined ? 'primary_cleared' : 'primary_suspected',
-    group: group.id,
-    target: subject,
-    silentMs: Math.round(failingMs),
-  });
-}
-
-/**
- * Tracks whether most daemons cannot reach the primary, so that it is about to be replaced. Writes
- * stop then: commits that an isolated primary acknowledges would be discarded by its successor.
- */
-function trackContested(world: World, group: GroupRow, opinions: Opinions): void {
-  const contested =
-    group.suspectedPrimary === undefined && opinions.suspecting > opinions.trusting + 1;
-  if (contested === group.contested) return;
-  group.contested = contested;
-  world.groupsToDispatch.add(group);
-  world.io.log({ type: 'primary_contested', group: group.id, contested, ...opinions });
-}
-
 function startPromotionIfNeeded(
   world: World,
   group: GroupRow,
@@ -220,11 +180,11 @@
     expectPrimary(world, group, otherPrimary.listed.id, now);
     return;
   }
-  const surveyed = [...group.targets.values()]
-    .filter((target) => target.listed.id !== group.primary || isOutdated(group))
-    .filter((target) => isUsable(world, target, now))
-    .filter((target) => now - target.rejectedAt > REJECTED_MS);
-  for (const target of surveyed)
+  const surveyed = [...group.targets.values()].filter((target) =>
+    mayBeCandidate(world, group, target, promotion, now),
+  );
+  // Where commits wait for replicas each log may have one that all others lack.
+  for (const target of group.syncReplicas > 0 ? group.targets.values() : surveyed)
     if (!hasStatus(target, promotion)) requestStatus(world, target, now);
   demoteOutdated(world, group, now);
   const candidates = surveyed.map((target) => describeCandidate(target, promotion));
@@ -251,6 +211,13 @@
     reportNoCandidate(world, group, candidates, now);
     return;
   }
+  if (group.syncReplicas > 0) {
+    const verdict = reviewLogs(world, group, promotion, choice, history, now);
+    if (verdict.kind !== 'complete') {
+      awaitLogs(world, group, promotion, choice, verdict, now);
+      return;
+    }
+  }
   if (isTooFarBehind(world, group, promotion.reason, choice, now)) {
     group.promotion = undefined;
     group.promotionNotBefore = now + UNAVAILABLE_PAUSE_MS;
@@ -259,6 +226,7 @@
   promotion.stage = 'ordered';
   promotion.orderedAt = now;
   promotion.candidate = choice.id;
+  group.lastOrder = { target: choice.id, at: now };
   world.io.log({
     type: 'promotion_ordered',
     group: group.id,
@@ -274,6 +242,42 @@
   world.io.promote(group.id, { target, received, previous, term: nextTerm(group), basis });
 }
 
+/** Whether a target may be promoted if its log is the newest. */
+function mayBeCandidate(
+  world: World,
+  group: GroupRow,
+  target: TargetRow,
+  promotion: Promotion,
+  now: Millis,
+): boolean {
+  if (now - target.rejectedAt <= REJECTED_MS || !isUsable(world, target, now)) return false;
+  if (target.listed.id !== group.primary || isOutdated(group)) return true;
+  // The primary is back as a replica; nobody else may have been promoted.
+  const isReplica = hasStatus(target, promotion) && target.status?.report.role === 'replica';
+  return group.syncReplicas > 0 && isReplica;
+}
+
+/** Waits for logs that may have acknowledged commits; gives the promotion up when that takes too long. */
+function awaitLogs(
+  world: World,
+  group: GroupRow,
+  promotion: Promotion,
+  choice: PromotionCandidate,
+  verdict: Exclude<LogVerdict, { kind: 'complete' }>,
+  now: Millis,
+): void {
+  const waitedMs = now - promotion.startedAt;
+  const awaited = verdict.awaited.join(' ');
+  if (waitedMs >= world.settings.statusWaitMs && !promotion.isAwaitLogged) {
+    promotion.isAwaitLogged = true;
+    const { kind } = verdict;
+    const candidate = choice.id;
+    world.io.log({ type: 'promotion_awaits', group: group.id, candidate, verdict: kind, awaited });
+  }
+  if (waitedMs >= world.settings.promotionTimeoutMs)
+    abandonPromotion(world, group, `acknowledged commits may be missing; awaited: ${awaited}`, now);
+}
+
 /** Time that this daemon leaves to those that are ranked before it, in a large fleet the samplers. */
 function ownPromotionDelayMs(world: World, group: GroupRow): Millis {
   const { name } = world.self;
@@ -286,11 +290,6 @@
   return SAMPLERS_FIRST_MS + promotionDelayMs(name, peers, group.id, promotionStaggerMs);
 }
 
-/** True when a newer leadership than that of the known primary has been claimed. */
-function isOutdated(group: GroupRow): boolean {
-  return !isCurrent(group.newest, group.leaderTerm, group.primary);
-}
-
 /** The term of the next primary, as far as known here. */
 function nextTerm(group: GroupRow): number {
   const reported = [...group.targets.values()].map(({ status }) => status?.report.term ?? 0);
@@ -349,6 +348,8 @@
   world.io.log({ type: 'promotion_ended', group: group.id, candidate, outcome: result });
   // The result of an earlier promotion, which took too long, does not end the present one.
   if (group.promotion?.candidate === candidate) group.promotion = undefined;
+  const wasSent = result !== 'lost_claim' && result !== 'obsolete';
+  group.lastOrder = wasSent ? { target: candidate, at: now } : undefined;
   if (result === 'ordered' || result === 'unknown') {
     expectPrimary(world, group, candidate, now);
     return;
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -1,16 +1,10 @@
 import type { GroupId, InstanceId, Millis, TargetId } from '@rosedeck/shared';
-import {
-  mayOpen,
-  openConnection,
-  releaseConnection,
-  sendOps,
-  takeAnyConnection,
-} from './connections';
 import { hasSettled, nextMembers, quorumOf, SET_VALID_MS } from './confirmers';
 import type { ConfirmerSet } from './confirmers';
 import { listLateDaemons } from './fleet';
 import { confirmersToReplace, isCurrent, supersedes } from './leadership';
 import type { Leadership, OrderInputs } from './leadership';
+import { keepStatus, sendOwnOp } from './ownOps';
 import type { GroupLeadership } from './peerReport';
 import type { GroupRow, TargetRow, World } from './tables';
 
@@ -236,28 +230,13 @@
 }
 
 function sendStepDown(world: World, target: TargetRow, term: number, now: Millis): boolean {
-  const connection = takeAnyConnection(target, now);
-  if (!connection) {
-    if (mayOpen(world, target, now)) openConnection(world, target, now);
-    return false;
-  }
-  sendOps(world, connection, [
-    [
-      { op: 'stepDown', term },
-      (reply, sent) => {
-        const { group } = target;
-        if (reply.kind === 'done' && reply.status && sent.sentAt >= (target.status?.at ?? 0))
-          target.status = { report: reply.status, at: sent.sentAt };
-        const stopped = reply.kind === 'done' && reply.status?.role === 'replica';
-        if (stopped && group.replaced?.target === target.listed.id)
-          group.replaced.steppedDown = true;
-        if (stopped)
-          world.io.log({ type: 'primary_stepped_down', group: group.id, target: target.listed.id });
-        releaseConnection(world, connection, world.clock.now());
-      },
-    ],
-  ]);
-  return true;
+  return sendOwnOp(world, target, { op: 'stepDown', term }, now, (reply, sent) => {
+    const { group } = target;
+    keepStatus(target, reply, sent);
+    if (reply.kind !== 'done' || reply.status?.role !== 'replica') return;
+    if (group.replaced?.target === target.listed.id) group.replaced.steppedDown = true;
+    world.io.log({ type: 'primary_stepped_down', group: group.id, target: target.listed.id });
+  });
 }
 
 /** The newest leadership of each group, for the other daemons. */
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -282,6 +282,27 @@
     }
   | { readonly type: 'time_jumped'; readonly byMs: Millis }
   | { readonly type: 'drain_started'; readonly sessions: number }
+  | {
+      /** No candidate of a promotion has all acknowledged commits for certain. */
+      readonly type: 'promotion_awaits';
+      readonly group: GroupId;
+      readonly candidate: TargetId;
+      /** `awaits`: other logs may have more; `behind`: they do. */
+      readonly verdict: 'awaits' | 'behind';
+      /** Ids of their targets, separated by blanks. */
+      readonly awaited: string;
+    }
+  | {
+      readonly type: 'log_paused';
+      readonly group: GroupId;
+      readonly target: TargetId;
+      readonly term: number;
+    }
+  | {
+      readonly type: 'log_resumed' | 'pause_rejected';
+      readonly group: GroupId;
+      readonly target: TargetId;
+    }
   | {
       /** This daemon has learned of another set of confirmers. */
       readonly type: 'confirmers_changed';
--- a/packages/direct/src/primaryProbes.ts
+++ b/packages/direct/src/primaryProbes.ts
@@ -8,6 +8,7 @@
 } from './connections';
 import { isUsable } from './eligibility';
 import { isCurrent } from './leadership';
+import { sendOwnOp } from './ownOps';
 import { recordNotPrimary, recordPrimaryProof, recordStatus } from './primaryTracking';
 import { rollbackStep } from './rollback';
 import { isSampler, isScarce } from './samplers';
@@ -28,7 +29,10 @@
   const provenAt = group.primaryProvenAt;
   const isConfirmed = primary !== undefined && provenAt !== undefined && !group.expectedPrimary;
   if (isConfirmed) {
-    if (now - group.lastRequestAt > settings.sampleIdleMs) return;
+    const isIdle = now - group.lastRequestAt > settings.sampleIdleMs;
+    // A sample ends the wait for the logs of targets that are gone.
+    const isAwaited = group.syncReplicas > 0 && group.missingLogs.logs.size > 0;
+    if (isIdle && !isAwaited) return;
     if (now - provenAt >= settings.sampleEveryMs) sendProbe(world, primary, now);
     return;
   }
@@ -69,13 +73,10 @@
 /** Requests the status of a target if a connection to it is idle; else opens one. */
 export function requestStatus(world: World, target: TargetRow, now: Millis): void {
   if (now - target.statusRequestedAt < world.settings.probeEveryMs) return;
-  const connection = takeAnyConnection(target, now);
-  if (!connection) {
-    if (mayOpen(world, target, now)) openConnection(world, target, now);
-    return;
-  }
-  target.statusRequestedAt = now;
-  sendStatus(world, target, connection);
+  const isSent = sendOwnOp(world, target, { op: 'status' }, now, (reply, sent) => {
+    recordStatus(world, target, reply, sent);
+  });
+  if (isSent) target.statusRequestedAt = now;
 }
 
 function sendStatus(world: World, target: TargetRow, connection: ConnectionRow): void {
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -61,6 +61,19 @@
   readonly basis: ClaimBasis;
   /** `survey`: status replies are awaited; `ordered`: `EngineIo.promote` was called. */
   stage: 'survey' | 'ordered';
+  /** It has been logged that no candidate has all acknowledged commits for certain. */
+  isAwaitLogged?: true;
   candidate?: TargetId;
   orderedAt?: Millis;
 }
+
+/** A target that this daemon has told to receive nothing more. */
+export interface Pause {
+  readonly term: number;
+  /** When it was last told so. */
+  readonly askedAt: Millis;
+  /** When the request was sent whose reply confirmed it; absent: none has. */
+  confirmedAt?: Millis;
+  /** The target does not know the request. */
+  isUnsupported: boolean;
+}
--- a/packages/direct/src/readBounds.ts
+++ b/packages/direct/src/readBounds.ts
@@ -1,6 +1,7 @@
 import { formatPosition } from '@rosedeck/shared';
 import type { Millis, Position } from '@rosedeck/shared';
 import type { BoundBasis } from './logEvents';
+import { settleMissingLogs } from './logSafety';
 import { addSample } from './sampleHistory';
 import type { PositionSample } from './sampleHistory';
 import type { GroupRow, RequestRow, TargetRow, World } from './tables';
@@ -76,6 +77,7 @@
     group.samples.length = 0;
   }
   dropped += addSample(group.samples, sample);
+  settleMissingLogs(group.missingLogs, sample);
   group.term = sample.position.term;
   group.termSeenAt = world.clock.now();
   if (!newest || dropped === 0) return;
--- a/packages/direct/src/savedTargets.ts
+++ b/packages/direct/src/savedTargets.ts
@@ -38,9 +38,12 @@
 
 /**
  * The targets of a group to save, in a fixed order. One whose entry is gone stays until it is no longer
- * used: entries that have expired return within that time.
+ * used: entries that have expired return within that time. Where commits wait for replicas it stays as long
+ * as its log may have an acknowledged commit, since a daemon that starts must not pass over it.
  */
 export function targetsToSave(group: GroupRow): ListedTarget[] {
   const listed = [...group.targets.values()].map((row) => row.listed);
+  if (group.syncReplicas > 0)
+    for (const missing of group.missingLogs.logs.values()) listed.push(missing.listed);
   return listed.sort((a, b) => (a.id < b.id ? -1 : 1));
 }
--- a/packages/direct/src/statements.ts
+++ b/packages/direct/src/statements.ts
@@ -36,6 +36,9 @@
 export type TargetOp =
   | { readonly op: 'begin'; readonly readOnly: boolean; readonly after?: Position }
   | { readonly op: 'rollback' | 'discard' | 'status' }
+  /** Makes a replica receive nothing more, until `resume`, a promotion or its restart. */
+  | { readonly op: 'pause'; readonly term: number }
+  | { readonly op: 'resume' }
   /** Makes a primary of a lower term a replica. */
   | { readonly op: 'stepDown'; readonly term: number }
   | { readonly op: 'set'; readonly name: string; readonly value: string }
@@ -80,7 +83,7 @@
       readonly inTransaction: boolean;
       /** Position that the target has applied; absent when the reply carries none. */
       readonly position?: Position;
-      /** Set for `status` and `stepDown`. */
+      /** Set for `status`, `stepDown`, `pause` and `resume`. */
       readonly status?: TargetStatus;
     }
   | {
@@ -99,6 +102,8 @@
   readonly term: number;
   /** Last log entry that the target holds, applied or not. */
   readonly received: Position;
+  /** Term at which the target is paused, if it is above `term`; absent: not told. */
+  readonly held?: number;
 }
 
 /** Answer to a caller's statement. */
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -12,8 +12,9 @@
 import type { DirectConfig, ListedTarget, Route } from './configuration';
 import type { ConnectionId, EngineIo, PoolLoad } from './engineIo';
 import type { Leadership } from './leadership';
+import type { MissingLogs } from './logSafety';
 import type { FleetRow, GroupLoadTable } from './peerReport';
-import type { Promotion } from './promotionTypes';
+import type { Pause, Promotion } from './promotionTypes';
 import type { LatencyRating } from './placement';
 import type { RetryBudget } from './retryBudget';
 import type { SampleHistory } from './sampleHistory';
@@ -143,6 +144,10 @@
   status?: { readonly report: TargetStatus; readonly at: Millis };
   /** When its status was last requested for a promotion. */
   statusRequestedAt: Millis;
+  /** When it was last told to receive again. */
+  resumeAskedAt: Millis;
+  /** The term at which it is paused by another daemon, and when that was first seen. */
+  heldSince?: { readonly term: number; readonly at: Millis };
   /** When it was last asked to step down as one that leads an outdated term. */
   stepDownAskedAt: Millis;
   /** Applied position in the newest reply, with the time at which the operation was sent. */
@@ -181,6 +186,8 @@
 export interface GroupRow {
   readonly id: GroupId;
   connectionLimit: number;
+  /** Replicas that have received a commit before it is acknowledged. */
+  syncReplicas: number;
   readonly targets: Map<TargetId, TargetRow>;
   primary?: TargetId;
   /** Sending time of the operation whose reply last proved the primary; undefined: unconfirmed. */
@@ -238,6 +245,12 @@
     /** The claim was written at an unknown time before `since`. */
     readonly isMissed?: true;
   };
+  /** Logs of targets that are not used any more. */
+  readonly missingLogs: MissingLogs;
+  /** Targets that this daemon has told to receive nothing more. */
+  readonly pauses: Map<TargetId, Pause>;
+  /** The last promotion that this daemon passed on to be ordered. */
+  lastOrder?: { readonly target: TargetId; readonly at: Millis };
   /** Highest token of a claim that is known here, and since when. */
   knownClaim?: { readonly token: number; readonly since: Millis };
   /** The target that last proved to be the primary, and when that operation was sent. */
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -2,6 +2,7 @@
 import type { DirectConfig, ListedTarget } from './configuration';
 import { loseConnection } from './connections';
 import { createGroupLoads } from './groupLoads';
+import { addMissingLog, createMissingLogs, takeOverLog } from './logSafety';
 import { reachConfigVersion } from './newerConfig';
 import { createRetryBudget } from './retryBudget';
 import { updateAverage } from './tables';
@@ -24,8 +25,10 @@
   world.quotas.applyTenants(config.tenants);
   for (const [id, limits] of config.groups) {
     const known = world.groups.get(id);
-    if (known) known.connectionLimit = limits.connectionLimit;
-    else world.groups.set(id, createGroup(world, id, limits.connectionLimit));
+    const group = known ?? createGroup(world, id, limits.connectionLimit);
+    group.connectionLimit = limits.connectionLimit;
+    group.syncReplicas = limits.syncReplicas ?? 0;
+    if (!known) world.groups.set(id, group);
   }
   world.io.log({
     type: 'config_applied',
@@ -40,7 +43,10 @@
   return {
     id,
     connectionLimit,
+    syncReplicas: 0,
     targets: new Map(),
+    missingLogs: createMissingLogs(),
+    pauses: new Map(),
     primaryChangedAt: -Infinity,
     boundLoggedAt: -Infinity,
     term: 0,
@@ -161,8 +167,10 @@
     rejectedAt: -Infinity,
     statusRequestedAt: -Infinity,
     stepDownAskedAt: -Infinity,
+    resumeAskedAt: -Infinity,
   };
   group.targets.set(listed.id, row);
+  takeOverLog(group.missingLogs, listed);
   world.targets.set(listed.id, row);
   if (group.primary === listed.id) {
     group.primaryProvenAt = undefined;
@@ -176,7 +184,11 @@
   const now = world.clock.now();
   for (const connection of [...row.connections, ...row.leases])
     loseConnection(world, connection, 'closed', now);
-  if (row.group.targets.get(row.listed.id) === row) row.group.targets.delete(row.listed.id);
+  const { group, listed } = row;
+  if (group.targets.get(listed.id) === row) {
+    group.targets.delete(listed.id);
+    addMissingLog(group.missingLogs, listed, row.unlistedSince ?? now);
+  }
   if (world.targets.get(row.listed.id) === row) world.targets.delete(row.listed.id);
 }
 
