fix(direct): a release promoted a replica that lacked acknowledged commits

Cause: chooseCandidate preferred any target that stays to any that leaves. In the later half of its drain time a leaving target was not even surveyed, although it receives until it ends.

Change: where commits wait for replicas, the newest log goes first, and among equals a target that stays; a leaving target is a candidate until it ends, and is replaced in its turn once it leads. Groups with SyncReplicas 0 are promoted as before.

--- a/packages/direct/__tests__/commitLogs.spec.ts
+++ b/packages/direct/__tests__/commitLogs.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { targetsToSave } from '../src/index';
+import { chooseCandidate, targetsToSave } from '../src/index';
 import { checkLogs } from '../src/logSafety';
 import type { OtherLog } from '../src/logSafety';
 import type { FakeTarget } from './fakeTarget';
@@ -217,6 +217,59 @@
   assert.is(rig.promotions[0]?.target, 't1');
 });
 
+/** A release of the second replica, and a first one that lacks its last commits; then the primary crashes. */
+function crashInRelease(drainingMs: number): SyncRig {
+  const sync = createSyncRig();
+  const { rig, primary, first, second } = sync;
+  rig.applyList((listed) => (listed.id === 't3' ? { ...listed, leaving: true } : listed));
+  rig.run(drainingMs);
+  first.isDeaf = true;
+  second.received = { term: 1, index: first.received.index + 7 };
+  crash(rig, primary);
+  write(rig, 1_500);
+  return sync;
+}
+
+// Acknowledged commits were discarded: a replica that lacked them was promoted since it stays.
+test('a leaving replica that alone has the last commits is promoted', () => {
+  assert.is(crashInRelease(500).rig.promotions[0]?.target, 't3');
+});
+
+test('a leaving replica is asked for its log until it ends', () => {
+  assert.is(crashInRelease(4_000).rig.promotions[0]?.target, 't3');
+});
+
+test('a leaving replica that was promoted is replaced once another one has its log', () => {
+  const { rig, first, second } = crashInRelease(500);
+  rig.engine.promotionEnded('g', 't3', 'ordered');
+  rig.promote(second);
+  rig.run(500);
+  assert.is(rig.promotions.length, 1);
+  first.isDeaf = false;
+  first.received = second.received;
+  write(rig, 2_000);
+  assert.is(rig.promotions[1]?.target, 't2');
+});
+
+test('a leaving replica is promoted only for a newer log, and only where commits wait for replicas', () => {
+  const staying = { id: 'a', leaving: false, failing: false, reply: 'status' } as const;
+  const leaving = { ...staying, id: 'b', leaving: true };
+  const at = (index: number): { received: { term: number; index: number } } => ({
+    received: { term: 1, index },
+  });
+  const choose = (a: number, b: number, preference?: 'newest'): string | undefined =>
+    chooseCandidate(
+      [
+        { ...staying, ...at(a) },
+        { ...leaving, ...at(b) },
+      ],
+      preference,
+    )?.id;
+  assert.is(choose(7, 8, 'newest'), 'b');
+  assert.is(choose(8, 8, 'newest'), 'a');
+  assert.is(choose(7, 8), 'a');
+});
+
 const log = (id: string, index?: number, isFinal = true): OtherLog => ({
   id,
   received: index === undefined ? undefined : { term: 1, index },
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -203,7 +203,8 @@
     return;
   }
   const history = knownHistory(world, group, promotion);
-  const choice = chooseCandidate(candidates.filter((one) => !mayHoldDiscarded(one, history)));
+  const fit = candidates.filter((one) => !mayHoldDiscarded(one, history));
+  const choice = chooseCandidate(fit, group.syncReplicas > 0 ? 'newest' : 'staying');
   // A target that replies late still counts while there is no other candidate.
   const waitMs = isComplete ? 0 : settings.promotionTimeoutMs;
   if (!choice && now - promotion.startedAt < waitMs) return;
@@ -250,7 +251,9 @@
   promotion: Promotion,
   now: Millis,
 ): boolean {
-  if (now - target.rejectedAt <= REJECTED_MS || !isUsable(world, target, now)) return false;
+  if (now - target.rejectedAt <= REJECTED_MS) return false;
+  // Where commits wait for replicas, one that is leaving receives until it ends.
+  if (group.syncReplicas === 0 && !isUsable(world, target, now)) return false;
   if (target.listed.id !== group.primary || isOutdated(group)) return true;
   // The primary is back as a replica; nobody else may have been promoted.
   const isReplica = hasStatus(target, promotion) && target.status?.report.role === 'replica';
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -10,7 +10,7 @@
 export { mayHoldDiscarded } from './promotionHistory';
 export type { KnownHistory } from './promotionHistory';
 export { chooseCandidate, findPromotionReason, promotionDelayMs } from './promotionPolicy';
-export type { PrimaryHealth, PromotionCandidate } from './promotionPolicy';
+export type { CandidatePreference, PrimaryHealth, PromotionCandidate } from './promotionPolicy';
 export type {
   GroupLeadership,
   GroupLoads,
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -83,25 +83,42 @@
   readonly isLeading?: boolean;
 }
 
+/** What decides between candidates first: the newest log, or that a target stays. */
+export type CandidatePreference = 'newest' | 'staying';
+
 /**
  * Chooses the replica with the newest log, among those that have replied; ties go to one that has sent
- * its status. A leaving replica is only chosen when all are leaving, a failing one never, nor one that
- * still leads: ordering it changes nothing.
+ * its status. A failing one is never chosen, nor one that still leads: ordering it changes nothing. A
+ * leaving replica is chosen when all are leaving or, where the newest log goes first, when no other log
+ * is as new: it has commits that all others lack, and is replaced in its turn.
  */
 export function chooseCandidate(
   candidates: readonly PromotionCandidate[],
+  preference: CandidatePreference = 'staying',
 ): PromotionCandidate | undefined {
   const fit = candidates.filter(
     (one) => !one.failing && one.isLeading !== true && one.reply !== undefined,
   );
   const staying = fit.filter((one) => !one.leaving);
-  const pool = staying.length > 0 ? staying : fit;
-  return pool.reduce<PromotionCandidate | undefined>(
+  const best = findBest(staying);
+  if (best && preference === 'staying') return best;
+  const bestLeaving = findBest(fit.filter((one) => one.leaving));
+  if (!best || !bestLeaving) return best ?? bestLeaving;
+  return hasNewerLog(bestLeaving, best) ? bestLeaving : best;
+}
+
+function findBest(candidates: readonly PromotionCandidate[]): PromotionCandidate | undefined {
+  return candidates.reduce<PromotionCandidate | undefined>(
     (best, one) => (best === undefined || isBetter(one, best) ? one : best),
     undefined,
   );
 }
 
+function hasNewerLog(a: PromotionCandidate, b: PromotionCandidate): boolean {
+  if (!a.received || !b.received) return a.received !== undefined;
+  return positionOrd.compare(a.received, b.received) > 0;
+}
+
 function isBetter(a: PromotionCandidate, b: PromotionCandidate): boolean {
   if (!a.received || !b.received) return a.received !== undefined && b.received === undefined;
   const order = positionOrd.compare(a.received, b.received);
