fix(direct): pauses of replicas that keep their term, and logs taken over at an address

A replica that is paused already may keep the term that it holds; it counts as paused, or a second promotion would wait for it until it resumes. The log of a target moves to the next server at its address only if the target was draining; a crashed one is awaited. A target counts as ended after two refused connections, as one may be reset while it is opened.

commitLogs.spec has a test for each of the first two.

--- a/packages/direct/__tests__/commitLogs.spec.ts
+++ b/packages/direct/__tests__/commitLogs.spec.ts
@@ -203,6 +203,38 @@
   assert.is(rig.promotions.length, 1);
 });
 
+test('only the log of a server that left as planned is taken over by the next one at its address', () => {
+  const takenOver = (leaving: boolean): boolean => {
+    const { rig, primary, second } = createSyncRig();
+    rig.applyList((listed) => (listed.id === 't3' ? { ...listed, leaving } : listed));
+    rig.run(100);
+    crash(rig, primary);
+    crash(rig, second);
+    rig.applyList((listed) => (listed.id === 't3' ? undefined : listed));
+    write(rig, 6_000);
+    assert.equal(rig.promotions, []);
+    rig.targets.push({ ...second, id: 't4', silent: false, refusing: false });
+    const address = '10.0.0.3:1';
+    rig.applyList((listed) => {
+      if (listed.id === 't3') return undefined;
+      return listed.id === 't4' ? { ...listed, address } : listed;
+    });
+    write(rig, 4_000);
+    return rig.promotions.length > 0;
+  };
+  assert.ok(takenOver(true));
+  assert.not.ok(takenOver(false));
+});
+
+test('a server that is paused already and keeps its term counts as paused', () => {
+  const { rig, primary, first, second } = createSyncRig();
+  for (const target of [first, second])
+    Object.defineProperty(target, 'held', { get: () => 9, set: () => undefined });
+  crash(rig, primary);
+  write(rig, 2_000);
+  assert.is(rig.promotions.length, 1);
+});
+
 test('a primary that is back as a replica tells all that it has acknowledged', () => {
   const { rig, primary, first, second } = createSyncRig();
   cutOff(rig, second);
--- a/packages/direct/src/logSafety.ts
+++ b/packages/direct/src/logSafety.ts
@@ -76,10 +76,15 @@
   missing.logs.set(listed.id, { listed, goneAt: now + GONE_MS });
 }
 
-/** A target is listed: a log that was missing under its id, or at its address, is its own now. */
+/**
+ * A target is listed: a log that was missing under its id is its own now, and so is that of a target at
+ * its address that has left as planned.
+ */
 export function takeOverLog(missing: MissingLogs, { id, address }: ListedTarget): void {
-  for (const [key, { listed }] of missing.logs)
-    if (key === id || listed.address === address) missing.logs.delete(key);
+  for (const [key, { listed }] of missing.logs) {
+    const hasMoved = listed.leaving && listed.address === address;
+    if (key === id || hasMoved) missing.logs.delete(key);
+  }
 }
 
 /**
--- a/packages/direct/src/pauses.ts
+++ b/packages/direct/src/pauses.ts
@@ -50,7 +50,7 @@
   const term = nextPauseTerm(group);
   const isSent = sendOwnOp(world, target, { op: 'pause', term }, now, (reply, sent) => {
     const asked = group.pauses.get(listed.id);
-    if (asked?.term !== term) return;
+    if (asked?.askedAt !== now) return;
     if (reply.kind === 'failed') {
       asked.isUnsupported = UNKNOWN_REQUEST.has(reply.code);
       if (asked.isUnsupported)
@@ -58,10 +58,12 @@
       return;
     }
     keepStatus(target, reply, sent);
-    const report = reply.status;
-    if (report?.role !== 'replica' || (report.held ?? 0) < term) return;
+    // A server that is paused already may keep its term.
+    const held = reply.status && pausedTerm(reply.status);
+    if (held === undefined) return;
+    asked.term = held;
     asked.confirmedAt = sent.sentAt;
-    world.io.log({ type: 'log_paused', group: group.id, target: listed.id, term });
+    world.io.log({ type: 'log_paused', group: group.id, target: listed.id, term: held });
   });
   if (isSent) group.pauses.set(listed.id, { term, askedAt: now, isUnsupported: false });
   return false;
@@ -80,6 +82,8 @@
     order !== undefined &&
     group.primary === order.target &&
     (group.primaryProvenAt ?? -Infinity) > order.at;
+  // The promotion has ended the pause of its own target.
+  if (isCarriedOut) group.pauses.delete(order.target);
   const mayBeLate = order !== undefined && !isCarriedOut && now - order.at < LATE_ORDER_MS;
   for (const target of group.targets.values()) {
     const { id } = target.listed;
--- a/packages/direct/src/promotionLogs.ts
+++ b/packages/direct/src/promotionLogs.ts
@@ -47,8 +47,9 @@
  * covers: its process has ended, or the platform counts it as gone.
  */
 function isGone(target: TargetRow, { received }: PromotionCandidate): boolean {
-  const { failingSince, lastFailure, unlistedSince, group } = target;
-  const endedAt = lastFailure === 'refused' ? failingSince : undefined;
+  const { failingSince, failures, lastFailure, unlistedSince, group } = target;
+  // A connection may also be reset while it is opened.
+  const endedAt = lastFailure === 'refused' && failures > 1 ? failingSince : undefined;
   const missingAt = unlistedSince === undefined ? undefined : unlistedSince + GONE_MS;
   const goneAt = Math.min(endedAt ?? Infinity, missingAt ?? Infinity);
   if (!received) return false;
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -69,7 +69,8 @@
 
 /** A target that this daemon has told to receive nothing more. */
 export interface Pause {
-  readonly term: number;
+  /** The term that it was told, or that it holds. */
+  term: number;
   /** When it was last told so. */
   readonly askedAt: Millis;
   /** When the request was sent whose reply confirmed it; absent: none has. */
