test(direct): half of the confirmers replace nothing while a set is changing

As strict, and on the whole engine: half of the confirmers with the store promote nothing while the change of the set has not settled.

--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -316,6 +316,15 @@
   assert.is(rig.promotions.length, 1);
 });
 
+test('half of the confirmers replace no primary while the others may count another set', () => {
+  const rig = createFleetOfEight();
+  const members = ['d1', 'd2', 'd3', 'd4', 'd5', 'd6', 'd7', 'd9'];
+  const previous = ['d1', 'd2', 'd3', 'd4', 'd5', 'd6', 'd7', 'd8'];
+  rig.engine.confirmersSeen({ version: 2, members, previous });
+  splitInHalf(rig, 4_000);
+  assert.is(rig.promotions.length, 0);
+});
+
 test('the half of a split that cannot read the store replaces no primary', () => {
   const rig = createFleetOfEight();
   if (rig.targets[0]) rig.targets[0].silent = true;
