fix(direct): an order at once counts daemons that use the set before the last change

Found by reading: right after a change of the set a daemon that is neither listed nor heard may hold a lease of the former confirmers' last reports, and the order that goes out when all daemons have acknowledged a claim did not wait for it. Members of the previous set count for 20 s.

--- a/packages/direct/__tests__/orderProgress.spec.ts
+++ b/packages/direct/__tests__/orderProgress.spec.ts
@@ -45,6 +45,23 @@
   assert.ok(orderProgress(rig.engine.world, 'g', new Set()).steppedDown);
 });
 
+test('an order waits for daemons that a lapse has taken from the directory, and for former confirmers', () => {
+  const rig = createUnfencedRig();
+  const { world } = rig.engine;
+  const daemons = (): number => orderProgress(world, 'g', new Set()).daemons;
+  rig.engine.applyDirectory([{ name: 'd1', failureDomain: 'a' }]);
+  rig.engine.applyDirectory(
+    ['d1', 'd2', 'd3', 'new'].map((name) => ({ name, failureDomain: 'a' })),
+  );
+  rig.engine.applyDirectory([{ name: 'd1', failureDomain: 'a' }]);
+  assert.is(daemons(), 6);
+  rig.engine.confirmersSeen({ version: 2, members: ['d1', 'd6'], previous: ['d1', 'd7'] });
+  assert.is(daemons(), 8);
+  rig.run(25_000);
+  assert.equal(world.fleet.peers.size, 0);
+  assert.is(daemons(), 2);
+});
+
 test('nothing is ordered while the directory is empty', () => {
   const rig = createRig({ promotionsFenced: false });
   const progress = orderProgress(rig.engine.world, 'g', new Set());
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -258,6 +258,9 @@
   }
 }
 
+/** Time after a change of the set in which the members before it count among all daemons. */
+const PREVIOUS_SET_MS: Millis = 20_000;
+
 /**
  * Progress of a claimed promotion towards its order. A daemon that reports counts although its entry
  * in the directory is lost, and so does one that was listed of late: it may still serve callers.
@@ -274,6 +277,9 @@
   const listedNames = listed.map(({ name }) => name);
   const late = listLateDaemons(world.fleet, now);
   const names = new Set([...members, ...listedNames, ...late, ...peers.keys()]);
+  // Those that still use the previous set have leases of its last reports.
+  if (confirmers && now - confirmers.since < PREVIOUS_SET_MS)
+    for (const name of confirmers.set.previous ?? []) names.add(name);
   const hasAcknowledged = (name: InstanceId): boolean =>
     name === world.self.name || acknowledgedBy.has(name);
   return {
