--- /dev/null
+++ b/review/lib-3/record.ts
@@ -0,0 +1,30 @@
+import { appendFileSync, writeFileSync } from 'node:fs';
+
+/** The record of one run: what was sent, answered and run, a line each with the time in ms. */
+export interface Record3 {
+  readonly write: (line: string) => void;
+  /** Milliseconds since the start of the run. */
+  readonly now: () => number;
+}
+
+/** Starts an empty record in the file that `RECORD` names. */
+export function startRecord(): Record3 {
+  const file = process.env.RECORD ?? 'record.txt';
+  const startedAt = performance.now();
+  const now = (): number => Math.round(performance.now() - startedAt);
+  writeFileSync(file, '');
+  return {
+    now,
+    write: (line) => {
+      const text = `${String(now()).padStart(6)} ${line}\n`;
+      appendFileSync(file, text);
+      process.stdout.write(text);
+    },
+  };
+}
+
+/** False for a run without the disruption. */
+export const hasTrouble = process.env.TROUBLE !== '0';
+
+/** Exit codes of a script. */
+export const EXIT = { held: 0, broken: 1, notRun: 2 } as const;
