--- a/review/lib-3/daemons.ts
+++ b/review/lib-3/daemons.ts
@@ -30,6 +30,7 @@
 export interface DaemonSettings {
   readonly storeHost: string;
   readonly storePort: number;
+  readonly cloudPort: number;
   readonly isFenced: boolean;
   readonly folder: string;
   /** The platform starts a process that has ended by itself again, after a short delay. */
@@ -67,7 +68,7 @@
       FencingRequired: settings.isFenced,
     },
     platform: { Address: `${settings.storeHost}:${settings.storePort}`, MinTtlMs: 1000 },
-    Cloud: { Address: `${settings.storeHost}:${settings.storePort}`, DutyPerS: 50 },
+    Cloud: { Address: `${settings.storeHost}:${settings.cloudPort}`, DutyPerS: 50 },
   });
   writeFileSync(file, text);
   let child: ChildProcess | undefined;
--- a/review/lib-3/databases.ts
+++ b/review/lib-3/databases.ts
@@ -35,7 +35,7 @@
 /** Rows of a read; one short row unless a case has others. */
 export type RowsOf = (text: string) => readonly string[];
 
-/** A database service whose platform ends the lead of an old primary at a promotion. */
+/** A database service. */
 export interface Service {
   readonly servers: readonly Server[];
   readonly primary: () => Server;
@@ -43,6 +43,8 @@
   readonly runs: Map<string, string[]>;
   /** Commits that a primary has acknowledged. */
   readonly acknowledged: Set<Commit>;
+  /** Queries whose commits an old primary has accepted after a promotion had taken effect. */
+  readonly staleQueries: Set<string>;
   /** Acknowledged commits that the server of a promotion lacked. */
   readonly losses: string[];
   /** Carries out an order; false when the server does not run. */
@@ -51,6 +53,8 @@
   /** Starts a crashed server under its id: with its log, or with nothing of before. */
   restart: (server: Server, keepsLog: boolean) => void;
   setDeaf: (server: Server, isDeaf: boolean) => void;
+  /** The server reports that it is going to leave; it goes on serving. */
+  drain: (server: Server) => void;
   close: () => void;
 }
 
@@ -62,6 +66,10 @@
   /** Replicas that have received a commit before it is acknowledged. */
   readonly syncReplicas: 0 | 1;
   readonly record: Record3;
+  /** A promotion ends the lead of the old primary at once; absent: it does. */
+  readonly isFenced?: boolean;
+  /** The logs of the servers are empty at the start; absent: they have a commit. */
+  readonly startsEmpty?: boolean;
   readonly rowsOf?: RowsOf;
   /** Time that a read, write or commit takes. */
   readonly workMs?: number;
@@ -70,7 +78,15 @@
 const HEARTBEAT_MS = 1_200;
 const MISSED_HEARTBEATS = 3;
 const PROMOTION_MS = 500;
+
+/** Time for which an old primary goes on without a fence once it can reach the new one. */
+const STALE_LEAD_MS = 1_000;
+
 const RECEIVE_MS = 2;
+
+/** Number of the last commit before the start. */
+const FIRST_NUMBER = 1_207;
+
 const CATCH_UP_MS = 300;
 const ZONES = ['a', 'b', 'c'] as const;
 
@@ -91,17 +107,22 @@
   const runs = new Map<string, string[]>();
   const acknowledged = new Set<Commit>();
   const losses: string[] = [];
+  const staleQueries = new Set<string>();
+  const isFenced = options.isFenced ?? true;
   /** Commits that wait for a replica. */
   const waiting = new Map<Commit, () => void>();
   let sequence = 0;
   let digests = 0;
   let term = 1;
 
+  const startLog: Commit[] = options.startsEmpty
+    ? []
+    : [{ term, number: FIRST_NUMBER, queries: [] }];
   const servers: Server[] = ZONES.map((zone) => ({
     id: `i-${name}-${zone}`,
     zone,
     port: 0,
-    log: [],
+    log: [...startLog],
     isUp: true,
     isDeaf: false,
     held: 0,
@@ -139,8 +160,21 @@
       born: server.born,
     });
   };
+  /** The server is a replica from now on. */
+  const endLead = (server: Server): void => {
+    if (server.leads === undefined) return;
+    server.leads = undefined;
+    record.write(`server: ${server.id} leads no more`);
+    announce(server);
+    setTimeout(catchUp, CATCH_UP_MS, server);
+  };
   const receives = (server: Server): boolean =>
-    server.isUp && !server.isDeaf && server.held === 0 && primary.isUp && server !== primary;
+    server.leads === undefined &&
+    server.isUp &&
+    !server.isDeaf &&
+    server.held === 0 &&
+    primary.isUp &&
+    server !== primary;
   const acknowledgeAt = (server: Server): void => {
     for (const [commit, resolve] of [...waiting])
       if (server.log.includes(commit) && primary.log.includes(commit) && primary.isUp) {
@@ -160,6 +194,7 @@
     const last = server.log.at(-1);
     const entry = { term: server.leads ?? term, number: (last?.number ?? 0) + 1, queries };
     server.log.push(entry);
+    if (server !== primary) for (const query of queries) staleQueries.add(query);
     const isKept = new Promise<void>((resolve) => {
       if (syncReplicas === 1) waiting.set(entry, resolve);
       else {
@@ -216,6 +251,9 @@
         server.held = 0;
         setTimeout(catchUp, CATCH_UP_MS, server);
         return statusOf(server);
+      case 'STEPDOWN':
+        if (server.leads !== undefined && server.leads < Number(argument)) endLead(server);
+        return statusOf(server);
       case 'STATUS':
         return statusOf(server);
       default:
@@ -331,11 +369,16 @@
       record.write(`platform: it lacks ${lost.length} acknowledged commits: ${ids}`);
     }
     for (const one of lost) acknowledged.delete(one);
-    primary.leads = undefined;
+    const old = primary;
     primary = server;
     server.leads = term;
     server.term = term;
     server.held = 0;
+    if (isFenced) endLead(old);
+    else
+      setTimeout(() => {
+        if (old !== primary) endLead(old);
+      }, STALE_LEAD_MS);
     for (const one of servers) {
       announce(one);
       setTimeout(catchUp, CATCH_UP_MS, one);
@@ -351,9 +394,9 @@
     runs,
     acknowledged,
     losses,
+    staleQueries,
     promote: (id) => {
       const server = servers.find((one) => one.id === id);
-      record.write(`platform: order to promote ${id}`);
       if (!server?.isUp) return false;
       setTimeout(takeLead, PROMOTION_MS, server);
       return true;
@@ -382,6 +425,11 @@
       record.write(`server: ${server.id} ${isDeaf ? 'receives nothing' : 'receives again'}`);
       if (!isDeaf) setTimeout(catchUp, CATCH_UP_MS, server);
     },
+    drain: (server) => {
+      server.isDraining = true;
+      record.write(`server: ${server.id} reports that it is draining`);
+      announce(server);
+    },
     close: () => {
       clearInterval(timer);
       for (const server of servers) {
--- a/review/lib-3/deployment.ts
+++ b/review/lib-3/deployment.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { startStore } from '../../platform/soak/store';
 import type { Store } from '../../platform/soak/store';
+import { startCloud } from './cloud';
 import { createDaemon, waitUntilServing } from './daemons';
 import type { Daemon } from './daemons';
 import { startService } from './databases';
@@ -27,7 +28,12 @@
   readonly record: Record3;
   readonly daemons: number;
   readonly routes: readonly { readonly Host: string; readonly [field: string]: unknown }[];
-  readonly service: Pick<ServiceOptions, 'syncReplicas' | 'rowsOf' | 'workMs'>;
+  readonly service: Pick<
+    ServiceOptions,
+    'syncReplicas' | 'rowsOf' | 'workMs' | 'isFenced' | 'startsEmpty'
+  >;
+  /** Time after which a call to promote is carried out that gets no answer; see CloudOptions. */
+  readonly lateMs?: (call: number) => number | undefined;
   readonly restarts?: boolean;
   readonly onOwnEnd?: (daemon: Daemon, how: string) => void;
 }
@@ -47,6 +53,14 @@
     store: () => store,
     record,
   });
+  const isFenced = options.service.isFenced ?? true;
+  const cloud = await startCloud({
+    host: HOST,
+    record,
+    promote: service.promote,
+    isFenced,
+    lateMs: options.lateMs ?? (() => undefined),
+  });
   store.put('op/config', {
     Version: 3,
     Routes: routes.map((route) => ({ Name: `route-${route.Host}`, Service: SERVICE, ...route })),
@@ -58,7 +72,8 @@
       createDaemon(index, {
         storeHost: HOST,
         storePort: store.port,
-        isFenced: true,
+        cloudPort: cloud.port,
+        isFenced,
         folder,
         restarts: options.restarts ?? false,
         onOwnEnd: options.onOwnEnd,
@@ -68,6 +83,7 @@
   const close = (): void => {
     for (const daemon of daemons) daemon.kill();
     service.close();
+    cloud.close();
     store.close();
     if (process.env.KEEP_LOGS === undefined) rmSync(folder, { recursive: true, force: true });
     else console.log(`logs: ${folder}`);
