--- a/review/13/main.ts
+++ b/review/13/main.ts
@@ -1,8 +1,9 @@
 import { setTimeout as pause } from 'node:timers/promises';
-import { openSession } from '../lib-3/client';
-import { startDeployment } from '../lib-3/deployment';
-import type { Deployment } from '../lib-3/deployment';
-import { EXIT, hasTrouble, startRecord } from '../lib-3/record';
+import { openSession } from '../11/lib/client';
+import { readinessOf } from '../11/lib/daemons';
+import { startDeployment } from '../11/lib/deployment';
+import type { Deployment } from '../11/lib/deployment';
+import { EXIT, hasTrouble, startRecord } from '../11/lib/record';
 
 const record = startRecord();
 
@@ -34,11 +35,13 @@
           const seen = `${database} ${text} -> ${outcome}`;
           const count = outcomes.get(seen) ?? 0;
           outcomes.set(seen, count + 1);
-          if (count === 0) record.write(`consumer: ${id} at ${daemon.name}, ${seen}`);
+          record.write(`consumer: ${id} at ${daemon.name}, ${seen}`);
           await pause(REQUEST_PAUSE_MS);
         }
     }),
   );
+  for (const daemon of daemons)
+    record.write(`${daemon.name}: readiness ${await readinessOf(daemon)}`);
   for (const [seen, count] of outcomes) record.write(`consumer: ${seen}: ${count} times`);
   const served = [...outcomes].some(([seen]) => seen.endsWith('-> done'));
   record.write(`servers: ${service.runs.size} requests ran; all three servers were up`);
