feat(direct): log why a primary gets no work

Without a fence a daemon refused every request with group_unavailable and did not say whether the primary was unproven, replaced, or this daemon without a lease. findPrimaryBlock names the cause; primary_unusable logs each change with what the target last said of itself, and primary_usable the end.

--- a/packages/direct/__tests__/fencing.spec.ts
+++ b/packages/direct/__tests__/fencing.spec.ts
@@ -55,6 +55,20 @@
   assert.is(rig.answerOf(id)?.answer.kind, 'done');
 });
 
+test('a daemon logs why it sends the primary no work, and when it does again', () => {
+  const rig = createUnfencedRig();
+  rig.run(800);
+  rig.engine.claimsRead(rig.now());
+  rig.run(100);
+  rig.engine.leadershipsSeen([claim(2, 't2')]);
+  rig.run(100);
+  const causes = rig.events.flatMap((event) => {
+    if (event.type === 'primary_usable') return ['usable'];
+    return event.type === 'primary_unusable' ? [event.cause] : [];
+  });
+  assert.equal(causes, ['unproven', 'usable', 'no_lease', 'usable', 'unproven']);
+});
+
 test('a minority of a split does not use the old primary', () => {
   const rig = createUnfencedRig();
   hearOthers(rig, ['d2'], 900);
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -4,6 +4,7 @@
 import { listLateDaemons } from './fleet';
 import { confirmersToReplace, isCurrent, supersedes } from './leadership';
 import type { Leadership, OrderInputs } from './leadership';
+import type { PrimaryBlock } from './logEvents';
 import { keepStatus, sendOwnOp } from './ownOps';
 import type { GroupLeadership } from './peerReport';
 import type { GroupRow, TargetRow, World } from './tables';
@@ -155,12 +156,23 @@
   return isCurrent(group.newest, term, target) && hasLease(world, now);
 }
 
+/** Why the group's primary may be sent no work; undefined when it may be. */
+export function findPrimaryBlock(
+  world: World,
+  group: GroupRow,
+  now: Millis,
+): PrimaryBlock | undefined {
+  if (world.settings.promotionsFenced) return undefined;
+  const { primary, primaryProvenAt, primaryLearnedAt, newest, leaderTerm } = group;
+  if (primary === undefined) return 'unknown';
+  if (primaryProvenAt === undefined && primaryLearnedAt === undefined) return 'unproven';
+  if (!isCurrent(newest, leaderTerm, primary)) return 'replaced';
+  return hasLease(world, now) ? undefined : 'no_lease';
+}
+
 /** True when the group's primary may be sent work. */
 export function mayUsePrimary(world: World, group: GroupRow, now: Millis): boolean {
-  if (world.settings.promotionsFenced) return true;
-  if (group.primary === undefined) return false;
-  if (group.primaryProvenAt === undefined && group.primaryLearnedAt === undefined) return false;
-  return isTrusted(world, group, group.primary, group.leaderTerm, now);
+  return findPrimaryBlock(world, group, now) === undefined;
 }
 
 /** Records a leadership, unless a newer one is known; the primary of an older one gets no work. */
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -7,6 +7,13 @@
 /** What gave the position that a read was sent with: a sample, or a commit of its session. */
 export type BoundBasis = 'sample' | 'session' | 'none';
 
+/**
+ * Why a primary may be sent no work where the platform does not fence promotions. `unknown`: no target
+ * is taken for the primary; `unproven`: it has not proven to lead; `replaced`: a newer leadership is
+ * known; `no_lease`: this daemon might not have learned of one.
+ */
+export type PrimaryBlock = 'unknown' | 'unproven' | 'replaced' | 'no_lease';
+
 /** A part of the engine's timed work and dispatch, as named in the log. */
 export type SystemName =
   | 'connections'
@@ -141,6 +148,26 @@
       /** Time for which every request to the target has failed or gone unanswered. */
       readonly silentMs: Millis;
     }
+  | {
+      /** This daemon sends the primary no work from now on, or for another cause than before. */
+      readonly type: 'primary_unusable';
+      readonly group: GroupId;
+      readonly primary?: TargetId;
+      readonly cause: PrimaryBlock;
+      /** Role, term and log of its last status. */
+      readonly role?: string;
+      readonly term?: number;
+      readonly received?: string;
+      /** Age of that status. */
+      readonly statusAgeMs?: Millis;
+    }
+  | {
+      readonly type: 'primary_usable';
+      readonly group: GroupId;
+      readonly primary?: TargetId;
+      /** Time for which it was not usable. */
+      readonly afterMs: Millis;
+    }
   | {
       readonly type: 'primary_fenced';
       readonly group: GroupId;
--- a/packages/direct/src/primaryFailure.ts
+++ b/packages/direct/src/primaryFailure.ts
@@ -1,5 +1,6 @@
+import { formatPosition } from '@rosedeck/shared';
 import type { Millis } from '@rosedeck/shared';
-import { mayUsePrimary } from './fencing';
+import { findPrimaryBlock } from './fencing';
 import type { Opinions } from './fleet';
 import { isCurrent } from './leadership';
 import type { GroupRow, TargetRow, World } from './tables';
@@ -24,8 +25,7 @@
   if (!primary || primary.failingSince !== undefined || isOutdated(group))
     group.primaryDownSince ??= primary?.failingSince ?? now;
   else group.primaryDownSince = undefined;
-  if (mayUsePrimary(world, group, now)) group.unusableSince = undefined;
-  else group.unusableSince ??= now;
+  trackPrimaryBlock(world, group, primary, now);
   if (suspected === group.suspectedPrimary) return;
   const subject = suspected ?? group.suspectedPrimary ?? '';
   group.suspectedPrimary = suspected;
@@ -38,6 +38,37 @@
   });
 }
 
+/** Tracks since when and why this daemon may not use the primary, and logs each change. */
+function trackPrimaryBlock(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  now: Millis,
+): void {
+  const cause = findPrimaryBlock(world, group, now);
+  const before = group.primaryBlock;
+  if (cause === before) return;
+  const unusableSince = group.unusableSince ?? now;
+  group.primaryBlock = cause;
+  group.unusableSince = cause && unusableSince;
+  const subject = { group: group.id, primary: primary?.listed.id };
+  if (cause === undefined) {
+    const afterMs = Math.round(now - unusableSince);
+    world.io.log({ type: 'primary_usable', ...subject, afterMs });
+    return;
+  }
+  const status = primary?.status;
+  world.io.log({
+    type: 'primary_unusable',
+    ...subject,
+    cause,
+    role: status?.report.role,
+    term: status?.report.term,
+    received: status && formatPosition(status.report.received),
+    statusAgeMs: status && Math.round(now - status.at),
+  });
+}
+
 /**
  * Tracks whether most daemons cannot reach the primary, so that it is about to be replaced. Writes
  * stop then: commits that an isolated primary acknowledges would be discarded by its successor.
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -12,6 +12,7 @@
 import type { DirectConfig, ListedTarget, Route } from './configuration';
 import type { ConnectionId, EngineIo, PoolLoad } from './engineIo';
 import type { Leadership } from './leadership';
+import type { PrimaryBlock } from './logEvents';
 import type { MissingLogs } from './logSafety';
 import type { FleetRow, GroupLoadTable } from './peerReport';
 import type { Pause, Promotion } from './promotionTypes';
@@ -233,6 +234,8 @@
   primaryDownSince?: Millis;
   /** Since when this daemon may not use the primary, for lack of proof or of a lease. */
   unusableSince?: Millis;
+  /** Why it may not use the primary. */
+  primaryBlock?: PrimaryBlock;
   /** The primary, while the failure detector of this daemon suspects it. */
   suspectedPrimary?: TargetId;
   /** Most daemons cannot reach the primary, but this one can: it is about to be replaced. */
