fix(direct): a session could miss its write whose position was not told

A reply whose READY line says `-` names no position. A commit with such a reply was acknowledged, and the session went on with the position of an earlier commit, so that its next read could run at a replica that had not received the write.

The session now keeps the time of such a commit. Its reads need a sample taken since then, or the primary.

--- a/packages/direct/__tests__/emptyLogs.spec.ts
+++ b/packages/direct/__tests__/emptyLogs.spec.ts
@@ -6,7 +6,7 @@
 import { emptyLog } from './fakeTarget';
 import type { FakeTarget } from './fakeTarget';
 import { hearOthers, OTHERS } from './fencingRig';
-import { applyFleet, createRig, openSession } from './rig';
+import { applyFleet, createRig, freezeReplicas, openSession } from './rig';
 import type { Rig } from './rig';
 
 /** A rig of five daemons whose targets are changed before it first connects to them. */
@@ -94,6 +94,16 @@
     const readers = readersOf(rig, 'loops', 12);
     assert.ok(readers.has('t2') || readers.has('t3'), [...readers].join(' '));
   });
+
+  // Its next read went to a replica that had not received the write.
+  test(`a session reads its write whose position was not told, ${where}`, () => {
+    const rig = createEmptyRig(fenced, (target) => {
+      target.hidesPosition = true;
+    });
+    freezeReplicas(rig, 'applied', 'received');
+    assert.is(outcomeOf(rig, 'beats', 'write'), 'done');
+    assert.equal([...readersOf(rig, 'beats', 8)], ['t1']);
+  });
 }
 
 test.run();
--- a/packages/direct/src/eligibility.ts
+++ b/packages/direct/src/eligibility.ts
@@ -30,11 +30,11 @@
   const { route, group, transaction } = row;
   if (route.policy === 'primary' || row.access === 'write') return undefined;
   if (transaction && !transaction.readOnly) return undefined;
-  const { maxStalenessMs } = route;
   const own = ownPosition(group, row.session);
-  if (maxStalenessMs === undefined) return own;
   const startedAt = transaction?.beganAt ?? row.arrivedAt;
-  const notBefore = startedAt - maxStalenessMs + world.settings.stalenessMarginMs;
+  const boundAt = startedAt - (route.maxStalenessMs ?? Infinity) + world.settings.stalenessMarginMs;
+  const notBefore = Math.max(boundAt, row.session.untoldCommitAt ?? -Infinity);
+  if (notBefore === -Infinity) return own;
   const sample = findSample(group.samples, notBefore);
   row.needsPrimary = sample === undefined;
   return laterOf(sample?.position, own);
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -1,4 +1,4 @@
-import type { Position } from '@rosedeck/shared';
+import type { Millis, Position } from '@rosedeck/shared';
 import { loseConnection, sendOps } from './connections';
 import { recordPrimaryProof } from './primaryTracking';
 import { logReadBound } from './readBounds';
@@ -15,7 +15,7 @@
 import { failRequest, handleLoss, handleRefusal, handleReplacedPrimary } from './requestFailures';
 import type { ExecutionHooks } from './requestFailures';
 import type { TargetOp, TargetReply } from './statements';
-import type { ConnectionRow, RequestRow, SentOp, TargetRow, World } from './tables';
+import type { ConnectionRow, RequestRow, SentOp, SessionRow, TargetRow, World } from './tables';
 
 /**
  * Transaction of its own that a read is wrapped in. `lead`: the read must see every commit, and a target
@@ -304,10 +304,7 @@
   }
   row.target = target.listed.id;
   const wrote = transaction ? row.access === 'commit' && transaction.wrote : row.access === 'write';
-  if (wrote) {
-    row.session.position = laterOf(row.session.position, reply.position);
-    row.session.positionAt = now;
-  }
+  if (wrote) recordCommit(row.session, reply.position, now);
   if (transaction && row.access === 'write') transaction.wrote = true;
   if (!transaction && !isWrapped) releaseAfterReply(world, connection, reply.inTransaction);
   if (transaction && row.access === 'commit') {
@@ -318,6 +315,17 @@
   hooks.finish(world, row, { kind: 'done', rows: reply.rows, digest: reply.digest });
 }
 
+/** Records a commit that is acknowledged to a session. Its position covers the commits before it. */
+function recordCommit(session: SessionRow, position: Position | undefined, now: Millis): void {
+  if (!position) {
+    session.untoldCommitAt = now;
+    return;
+  }
+  session.position = laterOf(session.position, position);
+  session.positionAt = now;
+  session.untoldCommitAt = undefined;
+}
+
 function releaseUnused(
   world: World,
   row: RequestRow,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -300,8 +300,10 @@
   state: SessionState;
   /** The request without an answer yet; at most one at a time. */
   request?: RequestRow;
-  /** Covers every commit that was acknowledged to this session. */
+  /** Covers every commit that was acknowledged to this session with its position. */
   position?: Position;
+  /** When the newest commit was acknowledged without one; a sample taken since then covers it. */
+  untoldCommitAt?: Millis;
   /** When the newest of these commits was acknowledged. */
   positionAt: Millis;
   closed: boolean;
