fix(direct): a primary that started again without its log was used, or never replaced

A server may start again under its id and hold nothing. What callers saw of such a primary, in tests on the engine: with a fence its writes were acknowledged, to be lost with the next promotion, and its reads lacked all commits. Without a fence the same, or, where the list shows the new start, no request was served for good, although both replicas held all commits. A group whose targets all started again was not served either.

Cause: a log's end was compared with earlier ones by its term alone (mayBeNewest). A shorter log of the same term replaced the samples, or, without a fence, was refused without a consequence: the target can be reached, so that no promotion had a reason.

While a target leads, its log only grows, and nobody else writes entries of its term. logLoss.ts compares each status and each commit with the newest sample of the same lead and with what replicas hold of the term. A primary that lacks such an entry gets no work, a commit that shows it has an unknown outcome, and log_lost is a reason to promote. Where no other log holds more than the primary there is nothing to keep, and it serves on (lostLogs.ts). A shorter log in a BEGIN's reply may also be one that a later term has cut back: the primary then waits for its status.

--- a/packages/direct/__tests__/decisions.spec.ts
+++ b/packages/direct/__tests__/decisions.spec.ts
@@ -199,6 +199,7 @@
   suspecting: 0,
   trusting: 0,
   elsewhere: 0,
+  logLost: false,
 };
 
 test('connections for reads are opened where the load is low, at the primary last', () => {
--- a/packages/direct/src/eligibility.ts
+++ b/packages/direct/src/eligibility.ts
@@ -81,7 +81,7 @@
   isFailing: IsFailing = (target) => target.failingSince !== undefined,
 ): TargetRow[] {
   const usable = [...group.targets.values()].filter(
-    (target) => isUsable(world, target, now) && !isFailing(target),
+    (target) => isUsable(world, target, now) && !isFailing(target) && !target.logLoss,
   );
   const caughtUp = usable.filter((target) => isLikelyCaughtUp(group, row, target, after, now));
   const staying = caughtUp.filter((target) => target.leavingSince === undefined);
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -1,5 +1,6 @@
 import type { Millis, Position } from '@rosedeck/shared';
 import { loseConnection, sendOps } from './connections';
+import { isLogDoubted, isLogLost } from './logLoss';
 import { recordPrimaryProof } from './primaryTracking';
 import { logReadBound } from './readBounds';
 import {
@@ -12,7 +13,13 @@
 import type { Step } from './rollback';
 import { laterOf } from './sampleHistory';
 import { isTrusted } from './fencing';
-import { failRequest, handleLoss, handleRefusal, handleReplacedPrimary } from './requestFailures';
+import {
+  failRequest,
+  handleLoss,
+  handleRefusal,
+  handleReplacedPrimary,
+  retryDoubted,
+} from './requestFailures';
 import type { ExecutionHooks } from './requestFailures';
 import type { TargetOp, TargetReply } from './statements';
 import type { ConnectionRow, RequestRow, SentOp, SessionRow, TargetRow, World } from './tables';
@@ -153,6 +160,11 @@
         loseConnection(world, connection, 'protocol', world.clock.now());
         return;
       }
+      if (isLogDoubted(connection.target)) {
+        releaseUnused(world, row, connection, reply.inTransaction);
+        retryDoubted(world, hooks, row, connection.target);
+        return;
+      }
       setUpThenRun(world, hooks, row, connection, undefined);
     },
   ];
@@ -176,10 +188,13 @@
         handleRefusal(world, hooks, row, connection, reply, sent);
         return;
       }
-      if (!readOnly) recordPrimaryProof(world, connection.target, reply.position, sent);
-      if (row.stage === 'done') {
+      const { target } = connection;
+      if (!readOnly) recordPrimaryProof(world, target, reply.position, sent);
+      const isDoubted = !readOnly && isLogDoubted(target);
+      if (row.stage === 'done' || isDoubted) {
         row.running.delete(connection);
         rollBack(world, connection);
+        if (row.stage !== 'done') retryDoubted(world, hooks, row, target);
         return;
       }
       if (transaction) transaction.connection = connection;
@@ -289,7 +304,12 @@
   }
   recordRunTime(world, row, target, now - sent.sentAt);
   const { transaction } = row;
-  if (needsLeader(row, wrapping) && !isStillPrimary(world, target)) {
+  const wrote = transaction ? row.access === 'commit' && transaction.wrote : row.access === 'write';
+  const isReplaced =
+    needsLeader(row, wrapping) &&
+    (!isStillPrimary(world, target) ||
+      isLogLost(world, target, wrote ? reply.position : undefined, sent));
+  if (isReplaced) {
     if (row.stage !== 'done') handleReplacedPrimary(world, hooks, row, connection, isWrapped);
     else if (!isWrapped) releaseAfterReply(world, connection, reply.inTransaction);
     return;
@@ -303,7 +323,6 @@
     return;
   }
   row.target = target.listed.id;
-  const wrote = transaction ? row.access === 'commit' && transaction.wrote : row.access === 'write';
   if (wrote) recordCommit(row.session, reply.position, now);
   if (transaction && row.access === 'write') transaction.wrote = true;
   if (!transaction && !isWrapped) releaseAfterReply(world, connection, reply.inTransaction);
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,4 +1,4 @@
-import { formatPosition, positionOrd } from '@rosedeck/shared';
+import { formatPosition, ORIGIN, positionOrd } from '@rosedeck/shared';
 import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './eligibility';
 import { demoteOutdated, driveStepDown, mayClaim } from './fencing';
@@ -8,6 +8,7 @@
 import { reviewPauses } from './pauses';
 import { presumePrimary, reviewPrimary } from './primaryTracking';
 import type { LogVerdict } from './logSafety';
+import { areLogsEmpty, coversLog, reviewLostLog } from './lostLogs';
 import { limitChain, mayHoldDiscarded } from './promotionHistory';
 import { reviewLogs } from './promotionLogs';
 import { detectPrimaryFailure, isOutdated, trackContested } from './primaryFailure';
@@ -48,6 +49,7 @@
   detectPrimaryFailure(world, group, primary, now);
   driveStepDown(world, group, now);
   reviewPauses(world, group, now);
+  reviewLostLog(world, group, primary, now);
   probeTargets(world, group, primary, now);
   expireExpectedPrimary(world, group, now);
   if (group.promotion) {
@@ -108,6 +110,7 @@
     known: primary !== undefined && !isOutdated(group),
     leaving: primary?.leavingSince !== undefined,
     unlisted: primary?.unlistedSince !== undefined && !primary.isRecalled,
+    logLost: primary?.logLoss !== undefined,
     suspected: group.suspectedPrimary !== undefined,
     primaryDownMs: isDown ? now - primaryDownSince : 0,
     storeAgeMs: isDown ? world.io.readClaimBasis(group.id).ageMs : 0,
@@ -202,7 +205,9 @@
     abandonPromotion(world, group, obsoleteCause, now);
     return;
   }
-  const history = knownHistory(world, group, promotion);
+  const history = areLogsEmpty(group, promotion.startedAt)
+    ? { term: ORIGIN.term }
+    : knownHistory(world, group, promotion);
   const fit = candidates.filter((one) => !mayHoldDiscarded(one, history));
   const choice = chooseCandidate(fit, group.syncReplicas > 0 ? 'newest' : 'staying');
   // A target that replies late still counts while there is no other candidate.
@@ -299,7 +304,10 @@
   return Math.max(group.leaderTerm, ...reported) + 1;
 }
 
-/** While time allows, a working primary is not replaced by a replica that receives no data. */
+/**
+ * While time allows, a working primary is not replaced by a replica that receives no data, nor one that
+ * has lost its log by one that holds no more.
+ */
 function isTooFarBehind(
   world: World,
   group: GroupRow,
@@ -308,8 +316,9 @@
   now: Millis,
 ): boolean {
   if (reason === 'replicas_behind') return isNotReceiving(group, choice, now);
-  if (reason !== 'leaving') return false;
   const primary = group.primary === undefined ? undefined : group.targets.get(group.primary);
+  if (reason === 'log_lost') return primary !== undefined && coversLog(primary, choice.received);
+  if (reason !== 'leaving') return false;
   const { settings } = world;
   const leavingMs = now - (primary?.leavingSince ?? now);
   if (leavingMs > (settings.targetDrainMs * settings.leavingShare) / 2) return false;
--- a/packages/direct/src/fencing.ts
+++ b/packages/direct/src/fencing.ts
@@ -162,8 +162,11 @@
   group: GroupRow,
   now: Millis,
 ): PrimaryBlock | undefined {
-  if (world.settings.promotionsFenced) return undefined;
   const { primary, primaryProvenAt, primaryLearnedAt, newest, leaderTerm } = group;
+  const target = primary === undefined ? undefined : group.targets.get(primary);
+  if (target?.logLoss) return 'log_lost';
+  if (target?.logState === 'doubted') return 'log_doubted';
+  if (world.settings.promotionsFenced) return undefined;
   if (primary === undefined) return 'unknown';
   if (primaryProvenAt === undefined && primaryLearnedAt === undefined) return 'unproven';
   if (!isCurrent(newest, leaderTerm, primary)) return 'replaced';
@@ -244,7 +247,7 @@
 function sendStepDown(world: World, target: TargetRow, term: number, now: Millis): boolean {
   return sendOwnOp(world, target, { op: 'stepDown', term }, now, (reply, sent) => {
     const { group } = target;
-    keepStatus(target, reply, sent);
+    keepStatus(world, target, reply, sent);
     if (reply.kind !== 'done' || reply.status?.role !== 'replica') return;
     if (group.replaced?.target === target.listed.id) group.replaced.steppedDown = true;
     world.io.log({ type: 'primary_stepped_down', group: group.id, target: target.listed.id });
--- a/packages/direct/src/logEvents.ts
+++ b/packages/direct/src/logEvents.ts
@@ -8,11 +8,13 @@
 export type BoundBasis = 'sample' | 'session' | 'none';
 
 /**
- * Why a primary may be sent no work where the platform does not fence promotions. `unknown`: no target
- * is taken for the primary; `unproven`: it has not proven to lead; `replaced`: a newer leadership is
- * known; `no_lease`: this daemon might not have learned of one.
+ * Why a primary may be sent no work. `log_lost`: it leads without its log; `log_doubted`: it may; and where
+ * the platform does not fence promotions, `unknown`: no target is taken for the primary; `unproven`: it has
+ * not proven to lead; `replaced`: a newer leadership is known; `no_lease`: this daemon might not have
+ * learned of one.
  */
-export type PrimaryBlock = 'unknown' | 'unproven' | 'replaced' | 'no_lease';
+export type PrimaryBlock =
+  'log_lost' | 'log_doubted' | 'unknown' | 'unproven' | 'replaced' | 'no_lease';
 
 /** A part of the engine's timed work and dispatch, as named in the log. */
 export type SystemName =
@@ -168,6 +170,24 @@
       /** Time for which it was not usable. */
       readonly afterMs: Millis;
     }
+  | {
+      /** A target leads `term` without an entry that its log had. */
+      readonly type: 'log_lost';
+      readonly group: GroupId;
+      readonly target: TargetId;
+      readonly term: number;
+      /** The end of its log. */
+      readonly received: string;
+      readonly missing: string;
+    }
+  | {
+      /** No log of the group has what its primary has lost, so that it goes on as it is. */
+      readonly type: 'log_loss_accepted';
+      readonly group: GroupId;
+      readonly target: TargetId;
+      readonly received: string;
+      readonly missing: string;
+    }
   | {
       readonly type: 'primary_fenced';
       readonly group: GroupId;
--- /dev/null
+++ b/packages/direct/src/lostLogs.ts
@@ -0,0 +1,63 @@
+import { covers, formatPosition, ORIGIN } from '@rosedeck/shared';
+import type { Millis, Position } from '@rosedeck/shared';
+import { isUsable } from './eligibility';
+import { leadsOutdatedTerm } from './fencing';
+import { requestStatus } from './primaryProbes';
+import type { GroupRow, TargetRow, World } from './tables';
+
+/**
+ * Finds out what a primary may do that has started again without its log. Others hold more: one of them is
+ * promoted. None does, as when all targets of the group have started again: nothing is left to be kept,
+ * and it goes on. Called each tick.
+ */
+export function reviewLostLog(
+  world: World,
+  group: GroupRow,
+  primary: TargetRow | undefined,
+  now: Millis,
+): void {
+  if (primary?.logState === 'doubted') requestStatus(world, primary, now);
+  const loss = primary?.logLoss;
+  if (!primary || !loss) return;
+  const usable = [...group.targets.values()].filter((target) => isUsable(world, target, now));
+  for (const target of usable) requestStatus(world, target, now);
+  const own = primary.status;
+  if (!own || own.at < loss.at || own.report.role !== 'primary') return;
+  const others = usable.filter((target) => target !== primary);
+  const holdsNewest = others.every(({ status }) => {
+    return status && status.at >= loss.at && coversLog(primary, status.report.received);
+  });
+  if (!holdsNewest || leadsOutdatedTerm(primary)) return;
+  acceptLoss(world, primary, own.report.received, loss.missing);
+}
+
+/** Uses a primary with the log that it has left. Its replies are compared with no earlier ones. */
+function acceptLoss(world: World, primary: TargetRow, received: Position, missing: Position): void {
+  const { group, listed } = primary;
+  primary.logLoss = undefined;
+  primary.logState = 'untold';
+  group.samples.length = 0;
+  group.term = received.term;
+  group.missingLogs.floor = undefined;
+  world.io.log({
+    type: 'log_loss_accepted',
+    group: group.id,
+    target: listed.id,
+    received: formatPosition(received),
+    missing: formatPosition(missing),
+  });
+}
+
+/** Whether the log of a target, by its last status, holds all of one that ends at `end`. */
+export function coversLog({ status }: TargetRow, end: Position | undefined): boolean {
+  return status !== undefined && covers(status.report.received, end ?? ORIGIN);
+}
+
+/** Whether each target that a group is known to have had has told since `since` that it holds nothing. */
+export function areLogsEmpty(group: GroupRow, since: Millis): boolean {
+  if (group.missingLogs.logs.size > 0) return false;
+  return [...group.targets.values()].every(({ status, unlistedSince }) => {
+    if (!status || status.at < since || unlistedSince !== undefined) return false;
+    return covers(ORIGIN, status.report.received);
+  });
+}
--- a/packages/direct/src/ownOps.ts
+++ b/packages/direct/src/ownOps.ts
@@ -38,8 +38,13 @@
 }
 
 /** Keeps the status in a reply, unless a newer one is known. */
-export function keepStatus(target: TargetRow, reply: TargetReply, { sentAt }: SentOp): void {
+export function keepStatus(
+  world: World,
+  target: TargetRow,
+  reply: TargetReply,
+  { sentAt }: SentOp,
+): void {
   if (reply.kind !== 'done' || !reply.status) return;
   if (sentAt >= (target.status?.at ?? -Infinity))
-    target.status = { report: reply.status, at: sentAt };
+    target.status = { report: reply.status, at: sentAt, heardAt: world.clock.now() };
 }
--- a/packages/direct/src/pauses.ts
+++ b/packages/direct/src/pauses.ts
@@ -57,7 +57,7 @@
         world.io.log({ type: 'pause_rejected', group: group.id, target: listed.id });
       return;
     }
-    keepStatus(target, reply, sent);
+    keepStatus(world, target, reply, sent);
     // A server that is paused already may keep its term.
     const held = reply.status && pausedTerm(reply.status);
     if (held === undefined) return;
@@ -124,7 +124,7 @@
   if (now - target.resumeAskedAt < RETRY_MS) return;
   const isSent = sendOwnOp(world, target, { op: 'resume' }, now, (reply, sent) => {
     if (reply.kind === 'failed' && !UNKNOWN_REQUEST.has(reply.code)) return;
-    keepStatus(target, reply, sent);
+    keepStatus(world, target, reply, sent);
     world.io.log({ type: 'log_resumed', group: target.group.id, target: target.listed.id });
     onDone();
   });
--- a/packages/direct/src/primaryFailure.ts
+++ b/packages/direct/src/primaryFailure.ts
@@ -22,7 +22,8 @@
     primary !== undefined && failingMs >= limitMs && primary.failures > 1
       ? primary.listed.id
       : undefined;
-  if (!primary || primary.failingSince !== undefined || isOutdated(group))
+  const isDown = primary?.failingSince !== undefined || primary?.logLoss !== undefined;
+  if (!primary || isDown || isOutdated(group))
     group.primaryDownSince ??= primary?.failingSince ?? now;
   else group.primaryDownSince = undefined;
   trackPrimaryBlock(world, group, primary, now);
--- a/packages/direct/src/primaryProbes.ts
+++ b/packages/direct/src/primaryProbes.ts
@@ -65,15 +65,13 @@
     [
       { op: 'begin', readOnly: false },
       (reply, sent) => {
-        if (reply.kind === 'done') {
-          target.needsStatus = reply.position === undefined;
-          recordPrimaryProof(world, target, reply.position, sent);
-        } else if (reply.code === 'read_only') recordNotPrimary(world, target, sent);
+        if (reply.kind === 'done') recordPrimaryProof(world, target, reply.position, sent);
+        else if (reply.code === 'read_only') recordNotPrimary(world, target, sent);
       },
     ],
     rollbackStep(world, connection),
   ];
-  if (target.needsStatus) steps.unshift(statusStep(world, target));
+  if (target.logState !== 'told' || target.logLoss) steps.unshift(statusStep(world, target));
   sendOps(world, connection, steps);
 }
 
--- a/packages/direct/src/primaryTracking.ts
+++ b/packages/direct/src/primaryTracking.ts
@@ -2,6 +2,7 @@
 import type { Millis, Position, TargetId } from '@rosedeck/shared';
 import type { ListedTarget } from './configuration';
 import { isTrusted, recordLeadership } from './fencing';
+import { isLogDoubted, reviewLogEnd, reviewStatus } from './logLoss';
 import type { PeerSample } from './peerReport';
 import { dropSamples, mayBeNewest, recordSample } from './readBounds';
 import type { TargetReply } from './statements';
@@ -18,12 +19,21 @@
   position: Position | undefined,
   sent: SentOp,
 ): void {
-  if (sent.epoch !== world.epoch) return;
+  if (sent.epoch !== world.epoch || !reviewLogEnd(world, target, position, sent)) return;
+  acceptProof(world, target, position, sent);
+}
+
+function acceptProof(
+  world: World,
+  target: TargetRow,
+  position: Position | undefined,
+  sent: SentOp,
+): void {
   const { group } = target;
   if (!recordLead(world, target, position)) return;
   if (!mayBeNewest(world, group, position?.term, sent.sentAt)) return;
   if (sent.sentAt < target.notPrimaryAt && (position ?? ORIGIN).term <= group.term) return;
-  if (position) recordSample(world, group, { position, sentAt: sent.sentAt });
+  if (position) recordSample(world, group, { position, sentAt: sent.sentAt, of: target.listed.id });
   group.lastProof = { target: target.listed.id, sentAt: sent.sentAt };
   group.primaryProvenAt = Math.max(group.primaryProvenAt ?? -Infinity, sent.sentAt);
   const expected = group.expectedPrimary;
@@ -68,14 +78,22 @@
   sent: SentOp,
 ): void {
   if (reply.kind !== 'done' || !reply.status) return;
-  target.status = { report: reply.status, at: sent.sentAt };
+  target.status = { report: reply.status, at: sent.sentAt, heardAt: world.clock.now() };
+  reviewStatus(world, target, reply.status, sent);
   if (world.settings.promotionsFenced) return;
-  if (reply.status.role !== 'primary') {
-    target.ledTerm = undefined;
-    return;
-  }
-  target.ledTerm = reply.status.term;
-  recordPrimaryProof(world, target, reply.position ?? reply.status.received, sent);
+  target.ledTerm = reply.status.role === 'primary' ? reply.status.term : undefined;
+  proveByStatus(world, target, reply, sent);
+}
+
+/** Takes a status for proof that a target leads, unless it may have lost its log. */
+function proveByStatus(
+  world: World,
+  target: TargetRow,
+  { status, position }: Extract<TargetReply, { kind: 'done' }>,
+  sent: SentOp,
+): void {
+  if (status?.role !== 'primary' || sent.epoch !== world.epoch || isLogDoubted(target)) return;
+  acceptProof(world, target, position ?? status.received, sent);
 }
 
 /**
@@ -89,9 +107,8 @@
   sent: SentOp,
 ): void {
   recordStatus(world, target, reply, sent);
-  if (!world.settings.promotionsFenced || reply.kind !== 'done') return;
-  if (reply.status?.role !== 'primary') return;
-  recordPrimaryProof(world, target, reply.position ?? reply.status.received, sent);
+  if (world.settings.promotionsFenced && reply.kind === 'done')
+    proveByStatus(world, target, reply, sent);
 }
 
 /**
@@ -115,6 +132,8 @@
     target.ledTerm = leaderTerm;
     if (position) beginTerm(world, target, leaderTerm, position);
   }
+  // The other daemon has asked it for its log since.
+  if (provenAt > (target.logLoss?.at ?? Infinity)) target.logLoss = undefined;
   if (group.primary !== target.listed.id)
     setPrimary(world, group, target.listed.id, 'a sample of another daemon');
   group.primaryLearnedAt = provenAt;
--- a/packages/direct/src/promotionPolicy.ts
+++ b/packages/direct/src/promotionPolicy.ts
@@ -9,6 +9,8 @@
   readonly known: boolean;
   readonly leaving: boolean;
   readonly unlisted: boolean;
+  /** It leads without entries that its log had. */
+  readonly logLost: boolean;
   /** The failure detector of this daemon suspects it. */
   readonly suspected: boolean;
   /** Time without a usable primary. */
@@ -42,7 +44,8 @@
  * Whether the group needs another primary, and why: the primary is lost, is leaving, or is isolated
  * from most daemons. A primary that only a few daemons cannot reach stays, since their callers can
  * use other daemons. Replicas that apply received data too late for any read are also a reason: a
- * promoted replica has applied all of it, and the old primary then serves reads beside it.
+ * promoted replica has applied all of it, and the old primary then serves reads beside it. So is a primary
+ * that has started again without its log.
  *
  * Where other daemons have proof of another primary, or a primary was claimed that this daemon never
  * reached and nobody else suspects, this one may be isolated from it. A promotion could then restore
@@ -51,6 +54,7 @@
  */
 export function findPromotionReason(health: PrimaryHealth): PromotionReason | undefined {
   if (health.elsewhere > 0) return undefined;
+  if (health.logLost) return 'log_lost';
   if (health.known && health.leaving) return 'leaving';
   const lacksOpinions = health.hasPeers && health.suspecting + health.trusting === 0;
   const isUninformed = lacksOpinions && health.storeAgeMs > health.primaryDownMs;
--- a/packages/direct/src/promotionTypes.ts
+++ b/packages/direct/src/promotionTypes.ts
@@ -1,8 +1,11 @@
 import type { Millis, Position, TargetId } from '@rosedeck/shared';
 
-/** Why a group needs another primary; `gone`: the target is no longer listed. */
+/**
+ * Why a group needs another primary; `gone`: the target is no longer listed; `log_lost`: it leads without
+ * entries that its log had.
+ */
 export type PromotionReason =
-  'unreachable' | 'leaving' | 'gone' | 'nobody_leads' | 'replicas_behind';
+  'unreachable' | 'leaving' | 'gone' | 'nobody_leads' | 'replicas_behind' | 'log_lost';
 
 /** How a promotion order ended. */
 export type PromotionResult =
--- a/packages/direct/src/requestFailures.ts
+++ b/packages/direct/src/requestFailures.ts
@@ -92,9 +92,21 @@
   else releaseConnection(world, connection, world.clock.now());
 }
 
+/** Retries a request of which nothing has run yet, since its target may have lost its log. */
+export function retryDoubted(
+  world: World,
+  hooks: ExecutionHooks,
+  row: RequestRow,
+  target: TargetRow,
+): void {
+  if (row.running.size > 0) return;
+  row.lastError = 'log in doubt';
+  retry(world, hooks, row, 'log in doubt', target);
+}
+
 /**
  * Handles a success of a target that may have been replaced as the primary before it ran the
- * statement: a commit there may be discarded, and a read may miss commits of the new primary.
+ * statement, or has lost its log: a commit there may be discarded, and a read may miss commits.
  */
 export function handleReplacedPrimary(
   world: World,
@@ -104,7 +116,9 @@
   isWrapped: boolean,
 ): void {
   const { transaction } = row;
-  const detail = 'the primary was replaced while the statement ran';
+  const detail = connection.target.logLoss
+    ? 'the primary has lost its log'
+    : 'the primary was replaced while the statement ran';
   const isPinned = transaction?.connection === connection;
   if (isPinned) transaction.connection = undefined;
   if (!isWrapped) loseConnection(world, connection, 'closed', world.clock.now());
--- a/packages/direct/src/sampleHistory.ts
+++ b/packages/direct/src/sampleHistory.ts
@@ -1,5 +1,5 @@
 import { covers, positionOrd } from '@rosedeck/shared';
-import type { InstanceId, Millis, Position } from '@rosedeck/shared';
+import type { InstanceId, Millis, Position, TargetId } from '@rosedeck/shared';
 
 /** A position of the primary's log that covers every commit acknowledged before `sentAt`. */
 export interface PositionSample {
@@ -8,6 +8,8 @@
   readonly sentAt: Millis;
   /** The daemon that told the sample; absent: this one has taken it. */
   readonly takenBy?: InstanceId;
+  /** The target whose log it shows; absent: not told. */
+  readonly of?: TargetId;
 }
 
 /** Samples of one group, oldest first, all of its newest term; no position is beyond a later one. */
--- a/packages/direct/src/sampling.ts
+++ b/packages/direct/src/sampling.ts
@@ -108,6 +108,7 @@
       position,
       sentAt: sampledAt,
       takenBy: sampler,
+      of: sample.primary,
     });
     world.groupsToDispatch.add(group);
   }
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -97,6 +97,21 @@
   onLost?: (reason: LossReason) => void;
 }
 
+/**
+ * What the replies of a target tell of its log, if it leads. `told`: a position; `untold`: none, so that
+ * only its status does; `doubted`: one before an earlier one, until its status has shown why.
+ */
+export type LogState = 'told' | 'untold' | 'doubted';
+
+/** The loss of a target's log, as one that leads has shown it. */
+export interface LogLoss {
+  /** Term in which it led. */
+  readonly term: number;
+  /** An entry that it does not have any more. */
+  readonly missing: Position;
+  readonly at: Millis;
+}
+
 /** State of a target, as this daemon has observed it. */
 export interface TargetRow {
   listed: ListedTarget;
@@ -141,8 +156,8 @@
   ledTerm?: number;
   /** When the target last replied that it is not the primary. */
   notPrimaryAt: Millis;
-  /** Its last status, and when that was requested. */
-  status?: { readonly report: TargetStatus; readonly at: Millis };
+  /** Its last status, when that was requested, and when it arrived. */
+  status?: { readonly report: TargetStatus; readonly at: Millis; readonly heardAt: Millis };
   /** When its status was last requested for a promotion. */
   statusRequestedAt: Millis;
   /** When it was last told to receive again. */
@@ -164,8 +179,9 @@
   smoothedAt: Millis;
   /** When the target was last probed for proof that it is the primary. */
   probedAt: Millis;
-  /** Its last reply to a probe told no position; the next one asks for the status, too. */
-  needsStatus: boolean;
+  logState: LogState;
+  /** Set once the target was seen to lead without entries that its log had. */
+  logLoss?: LogLoss;
   /** When the platform last rejected the target as a primary. */
   rejectedAt: Millis;
 }
@@ -234,7 +250,7 @@
   readonly occupancyMs: Readonly<Record<'primary' | 'any', MovingAverage>>;
   /** Since when the group has lacked a usable primary. */
   primaryDownSince?: Millis;
-  /** Since when this daemon may not use the primary, for lack of proof or of a lease. */
+  /** Since when this daemon may not use the primary. */
   unusableSince?: Millis;
   /** Why it may not use the primary. */
   primaryBlock?: PrimaryBlock;
--- a/packages/direct/src/targetList.ts
+++ b/packages/direct/src/targetList.ts
@@ -164,7 +164,7 @@
     smoothedAt: now,
     idleTimeoutMs: world.settings.surplusIdleMs,
     probedAt: -Infinity,
-    needsStatus: false,
+    logState: 'told',
     rejectedAt: -Infinity,
     statusRequestedAt: -Infinity,
     stepDownAskedAt: -Infinity,
