fix(direct): a target that had lost its log got no reads after it had caught up

Only the primary's status was asked for while a loss stood. Without a fence, a replaced primary that had become a replica and received the group's log kept its mark, since nothing else asks for its status, and this daemon sent it no reads for good.

Each target that may have lost its log is asked now. When a primary goes on without its log, statuses of before are dropped: one of a replica that has left would have shown the same loss again.

--- a/packages/direct/__tests__/lostLogs.spec.ts
+++ b/packages/direct/__tests__/lostLogs.spec.ts
@@ -104,6 +104,14 @@
       const before = next.executed.length;
       assert.ok(countDone(rig, sendFor(rig, 'write', 200)) > 0);
       assert.ok(next.executed.length > before);
+      Object.assign(rig.primary, {
+        role: 'replica',
+        term: next.term,
+        received: next.received,
+        applied: next.applied,
+      });
+      hearOthers(rig, OTHERS, 500);
+      assert.is(rig.engine.world.targets.get('t1')?.logLoss, undefined);
     });
 
     test(`a group whose targets all start again without their logs is served, ${where}`, () => {
--- a/packages/direct/src/lostLogs.ts
+++ b/packages/direct/src/lostLogs.ts
@@ -2,13 +2,14 @@
 import type { Millis, Position } from '@rosedeck/shared';
 import { isUsable } from './eligibility';
 import { leadsOutdatedTerm } from './fencing';
+import { isLogDoubted } from './logLoss';
 import { requestStatus } from './primaryProbes';
 import type { GroupRow, TargetRow, World } from './tables';
 
 /**
- * Finds out what a primary may do that has started again without its log. Others hold more: one of them is
- * promoted. None does, as when all targets of the group have started again: nothing is left to be kept,
- * and it goes on. Called each tick.
+ * Asks targets that may have lost their logs for their status, and decides whether a primary goes on
+ * without its log; called each tick. While another log holds more, that one is promoted. Where none does, as
+ * when all targets of the group have started again, there is nothing to keep.
  */
 export function reviewLostLog(
   world: World,
@@ -16,7 +17,8 @@
   primary: TargetRow | undefined,
   now: Millis,
 ): void {
-  if (primary?.logState === 'doubted') requestStatus(world, primary, now);
+  for (const target of group.targets.values())
+    if (isLogDoubted(target)) requestStatus(world, target, now);
   const loss = primary?.logLoss;
   if (!primary || !loss) return;
   const usable = [...group.targets.values()].filter((target) => isUsable(world, target, now));
@@ -31,7 +33,7 @@
   acceptLoss(world, primary, own.report.received, loss.missing);
 }
 
-/** Uses a primary with the log that it has left. Its replies are compared with no earlier ones. */
+/** Uses a primary with the log that it has left, which is compared with nothing of before. */
 function acceptLoss(world: World, primary: TargetRow, received: Position, missing: Position): void {
   const { group, listed } = primary;
   primary.logLoss = undefined;
@@ -39,6 +41,7 @@
   group.samples.length = 0;
   group.term = received.term;
   group.missingLogs.floor = undefined;
+  for (const target of group.targets.values()) if (target !== primary) target.status = undefined;
   world.io.log({
     type: 'log_loss_accepted',
     group: group.id,
