fix(direct): a lost log counted as regained once another was as long

A primary that has lost its log and gets new entries in the same term numbers them from the start. Once its end reached the lost entry by number, the loss was taken to be over, and the primary was used although the entries of before were missing.

"a primary is not used once its new log is as long as the lost one" fails without the change, with and without a fence.

--- a/packages/direct/__tests__/lostLogs.spec.ts
+++ b/packages/direct/__tests__/lostLogs.spec.ts
@@ -60,6 +60,10 @@
   return ids.filter((id) => rig.answerOf(id)?.answer.kind === 'done').length;
 }
 
+function isLossLogged({ events }: Rig): boolean {
+  return events.some(({ type }) => type === 'log_lost');
+}
+
 function waitForPromotion(rig: Rig, ms = 3_000): string | undefined {
   for (let at = 0; at < ms && rig.promotions.length === 0; at += 100) hearOthers(rig, OTHERS, 100);
   return rig.promotions[0]?.target;
@@ -148,6 +152,18 @@
     assert.ok(countDone(rig, sendFor(rig, 'write', 100)) > 0);
   });
 
+  // Its entries were taken for those that it had lost.
+  test(`a primary is not used once its new log is as long as the lost one, ${fence}`, () => {
+    const rig = createLossRig(fenced);
+    sendFor(rig, 'write', 100);
+    restartEmpty(rig, [rig.primary], 'later');
+    for (const target of rig.targets) target.silent = target !== rig.primary;
+    for (let at = 0; at < 20 && !isLossLogged(rig); at += 1) hearOthers(rig, OTHERS, 100);
+    rig.primary.received = { term: 1, index: 500 };
+    rig.primary.applied = rig.primary.received;
+    assert.is(countDone(rig, sendFor(rig, 'write', 400)), 0);
+  });
+
   test(`a log that a later term has cut back is no lost one, ${fence}`, () => {
     const rig = createLossRig(fenced);
     sendFor(rig, 'write', 100);
@@ -160,7 +176,7 @@
     hearOthers(rig, OTHERS, 500);
     assert.ok(countDone(rig, sendFor(rig, 'write', 200)) > 0);
     assert.equal(rig.promotions, []);
-    assert.not.ok(rig.events.some(({ type }) => type === 'log_lost'));
+    assert.not.ok(isLossLogged(rig));
   });
 }
 
--- a/packages/direct/src/logLoss.ts
+++ b/packages/direct/src/logLoss.ts
@@ -38,8 +38,8 @@
 ): void {
   if (sent.epoch !== world.epoch) return;
   const { logLoss } = target;
-  const isOver =
-    logLoss && (role === 'replica' || term > logLoss.term || covers(received, logLoss.missing));
+  // Entries that it has added since may have the numbers of those that it lost.
+  const isOver = logLoss && (role === 'replica' || term > logLoss.term);
   if (isOver) target.logLoss = undefined;
   const missing =
     role === 'primary' ? findMissingEntry(world, target, term, received, sent.sentAt) : undefined;
