--- a/packages/direct/__tests__/lostLogs.spec.ts
+++ b/packages/direct/__tests__/lostLogs.spec.ts
@@ -193,6 +193,19 @@
   assert.ok(rig.targets.some(({ id, held }) => id !== first && held > 0));
 });
 
+test('a primary that loses its log before the first commit of its term acknowledges no write', () => {
+  const rig = createLossRig(true);
+  sendFor(rig, 'write', 100);
+  const [, next] = rig.targets;
+  if (!next) throw new Error('the rig has three targets');
+  const { received } = rig.primary;
+  rig.promote(next);
+  Object.assign(next, { received, applied: received });
+  hearOthers(rig, OTHERS, 600);
+  restartEmpty(rig, [next], 'later');
+  assert.is(countDone(rig, sendFor(rig, 'write', 600)), 0);
+});
+
 test('a daemon that starts after the loss acknowledges no write, without a fence', () => {
   const rig = createLossRig(false, (target) => {
     if (target.id === 't1') emptyLog(target);
