fix(direct): a daemon that started after a loss of a log did not notice it, with a fence

Without a fence it had the replicas' statuses to compare with; with one they are not asked.

Their other replies name positions, too, also the refusals of the probes by which a daemon finds the primary. These count as entries of their term now. "a daemon that starts after the loss acknowledges no write, with a fence" fails without the change. The known-red test of a loss before the first commit keeps the replicas from getting an entry of the new term.

--- a/packages/direct/__tests__/lostLogs.spec.ts
+++ b/packages/direct/__tests__/lostLogs.spec.ts
@@ -199,6 +199,7 @@
   const [, next] = rig.targets;
   if (!next) throw new Error('the rig has three targets');
   const { received } = rig.primary;
+  for (const target of rig.targets) target.isDeaf = true;
   rig.promote(next);
   Object.assign(next, { received, applied: received });
   hearOthers(rig, OTHERS, 600);
@@ -206,13 +207,14 @@
   assert.is(countDone(rig, sendFor(rig, 'write', 600)), 0);
 });
 
-test('a daemon that starts after the loss acknowledges no write, without a fence', () => {
-  const rig = createLossRig(false, (target) => {
-    if (target.id === 't1') emptyLog(target);
-    target.isDeaf = true;
+for (const fenced of [true, false])
+  test(`a daemon that starts after the loss acknowledges no write, ${fenced ? 'with' : 'without'} a fence`, () => {
+    const rig = createLossRig(fenced, (target) => {
+      if (target.id === 't1') emptyLog(target);
+      target.isDeaf = true;
+    });
+    assert.is(countDone(rig, sendFor(rig, 'write', 600)), 0);
+    assert.ok(['t2', 't3'].includes(waitForPromotion(rig) ?? 'none'));
   });
-  assert.is(countDone(rig, sendFor(rig, 'write', 600)), 0);
-  assert.ok(['t2', 't3'].includes(waitForPromotion(rig) ?? 'none'));
-});
 
 test.run();
--- a/packages/direct/src/connections.ts
+++ b/packages/direct/src/connections.ts
@@ -191,7 +191,7 @@
   // A reply over a lease says nothing about a connection that this daemon keeps for probes.
   if (!row.lease || !keepsOwnConnection(world, row.target)) recordContact(world, row.target, now);
   if (reply.position && sent.sentAt >= (row.target.lastPosition?.sentAt ?? -Infinity))
-    row.target.lastPosition = { position: reply.position, sentAt: sent.sentAt };
+    row.target.lastPosition = { position: reply.position, sentAt: sent.sentAt, heardAt: now };
   sent.handle(reply, sent);
 }
 
--- a/packages/direct/src/logLoss.ts
+++ b/packages/direct/src/logLoss.ts
@@ -22,9 +22,12 @@
     const ledTerm = world.settings.promotionsFenced ? position.term : group.leaderTerm;
     if (position.term === term || (of === listed.id && term <= ledTerm)) return position;
   }
-  for (const { status } of group.targets.values()) {
-    if (!status || status.heardAt >= sentAt || status.report.received.term !== term) continue;
-    if (!covers(end, status.report.received)) return status.report.received;
+  for (const { status, lastPosition } of group.targets.values()) {
+    const received = status && status.heardAt < sentAt ? status.report.received : undefined;
+    const applied =
+      lastPosition && lastPosition.heardAt < sentAt ? lastPosition.position : undefined;
+    for (const known of [received, applied])
+      if (known?.term === term && !covers(end, known)) return known;
   }
   return undefined;
 }
--- a/packages/direct/src/lostLogs.ts
+++ b/packages/direct/src/lostLogs.ts
@@ -41,7 +41,10 @@
   group.samples.length = 0;
   group.term = received.term;
   group.missingLogs.floor = undefined;
-  for (const target of group.targets.values()) if (target !== primary) target.status = undefined;
+  for (const target of group.targets.values()) {
+    target.lastPosition = undefined;
+    if (target !== primary) target.status = undefined;
+  }
   world.io.log({
     type: 'log_loss_accepted',
     group: group.id,
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -166,8 +166,12 @@
   heldSince?: { readonly term: number; readonly at: Millis };
   /** When it was last asked to step down as one that leads an outdated term. */
   stepDownAskedAt: Millis;
-  /** Applied position in the newest reply, with the time at which the operation was sent. */
-  lastPosition?: { readonly position: Position; readonly sentAt: Millis };
+  /** Applied position in the newest reply, when the operation was sent, and when the reply arrived. */
+  lastPosition?: {
+    readonly position: Position;
+    readonly sentAt: Millis;
+    readonly heardAt: Millis;
+  };
   readonly rating: LatencyRating;
   /** When the target last replied to a statement. */
   lastStatementDoneAt: Millis;
