fix(direct): a lost log was not noticed after a time jump

The time jump drops the samples, whose times it makes useless, and with a fence the next read ran at the emptied primary.

The newest sample is kept for the comparison of logs: its entry must be in each later log of the same lead, whatever its time. "a loss is noticed after a time jump, with a fence" fails without the change.

--- a/packages/direct/__tests__/lostLogs.spec.ts
+++ b/packages/direct/__tests__/lostLogs.spec.ts
@@ -164,6 +164,16 @@
     assert.is(countDone(rig, sendFor(rig, 'write', 400)), 0);
   });
 
+  // The samples of before were the only sign.
+  test(`a loss is noticed after a time jump, ${fence}`, () => {
+    const rig = createLossRig(fenced);
+    sendFor(rig, 'write', 100);
+    rig.engine.timeJumped(1_000);
+    restartEmpty(rig, [rig.primary], 'same');
+    for (const target of rig.targets) target.silent = target !== rig.primary;
+    assert.is(countDone(rig, sendFor(rig, 'read', 400)), 0);
+  });
+
   test(`a log that a later term has cut back is no lost one, ${fence}`, () => {
     const rig = createLossRig(fenced);
     sendFor(rig, 'write', 100);
--- a/packages/direct/src/logLoss.ts
+++ b/packages/direct/src/logLoss.ts
@@ -16,7 +16,7 @@
   sentAt: Millis,
 ): Position | undefined {
   const { group, listed } = target;
-  const sample = group.samples.at(-1);
+  const sample = group.newestSample;
   if (sample && sentAt > group.termSeenAt && !covers(end, sample.position)) {
     const { position, of } = sample;
     const ledTerm = world.settings.promotionsFenced ? position.term : group.leaderTerm;
@@ -64,7 +64,7 @@
 ): boolean {
   const { group, listed } = target;
   if (isLogDoubted(target)) return false;
-  const sample = group.samples.at(-1);
+  const sample = group.newestSample;
   const isOwn = sample?.of === listed.id && sent.sentAt > group.termSeenAt;
   const isShorter = isOwn && (end ? !covers(end, sample.position) : target.logState === 'told');
   if (isShorter) {
--- a/packages/direct/src/lostLogs.ts
+++ b/packages/direct/src/lostLogs.ts
@@ -39,6 +39,7 @@
   primary.logLoss = undefined;
   primary.logState = 'untold';
   group.samples.length = 0;
+  group.newestSample = undefined;
   group.term = received.term;
   group.missingLogs.floor = undefined;
   for (const target of group.targets.values()) {
--- a/packages/direct/src/readBounds.ts
+++ b/packages/direct/src/readBounds.ts
@@ -82,6 +82,7 @@
     group.samples.length = 0;
   }
   dropped += addSample(group.samples, sample);
+  group.newestSample = group.samples.at(-1);
   settleMissingLogs(group.missingLogs, sample);
   group.term = sample.position.term;
   group.termSeenAt = world.clock.now();
@@ -97,6 +98,7 @@
   const newest = group.samples.at(-1);
   const dropped = group.samples.length;
   group.samples.length = 0;
+  group.newestSample = undefined;
   if (newest) logDropped(world, group, newest.position, dropped, { leaderTerm });
 }
 
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -18,7 +18,7 @@
 import type { Pause, Promotion } from './promotionTypes';
 import type { LatencyRating } from './placement';
 import type { RetryBudget } from './retryBudget';
-import type { SampleHistory } from './sampleHistory';
+import type { PositionSample, SampleHistory } from './sampleHistory';
 import type { Quotas } from './quotas/quotas';
 import type { DirectSettings } from './settings';
 import type { KeyDigest, TenantName } from './tenants';
@@ -232,6 +232,8 @@
   /** The primary that a newer claim replaces, until it has stepped down. */
   replaced?: ReplacedPrimary;
   readonly samples: SampleHistory;
+  /** The newest of them, also once a time jump has made its time useless. */
+  newestSample?: PositionSample;
   readonly loads: GroupLoadTable;
   readonly queue: RequestRow[];
   /** Leased connections without work; the next dispatch uses or returns them. */
