fix(bench): a demo whose port was taken hung and left its processes

Ports are found free and used a moment later. When another program took one meanwhile, a stand-in ended before it was ready: startCluster rejected, nobody ended the processes that had been started, and their open pipes kept the demo alive for good.

A start that fails ends its processes and removes its folder, and is tried again on other ports, three times in all. The ports come from a function that tests replace.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -51,6 +51,8 @@
   /** Targets per stand-in process, 1 by default; more allow for many targets with little load. */
   readonly targetsPerProcess?: number;
   readonly heartbeatMs?: Millis;
+  /** Finds ports for the deployment; free ones of the loopback interface by default. */
+  readonly findPorts?: (count: number) => Promise<number[]>;
 }
 
 /** Token with which the operator `bench` is authenticated at each daemon. */
@@ -59,16 +61,44 @@
 const LIST_LAG_MS = 500;
 const STORE_TIMEOUT_MS = 2_000;
 
-/** Starts a deployment and waits until all its processes are ready. */
+/** Starts of a deployment, each on other ports: a port that was free may be taken meanwhile. */
+const MAX_STARTS = 3;
+
+/**
+ * Starts a deployment and waits until all its processes are ready. Rejects after the last start that
+ * fails; no process is left then.
+ */
 export async function startCluster(
   profile: Profile,
   options: ClusterOptions = {},
 ): Promise<Cluster> {
+  for (let starts = 1; ; starts += 1) {
+    const processes = createProcessGroup();
+    const folder = await mkdtemp(path.join(getRunFolder(), 'cluster-'));
+    const stop = async (): Promise<void> => {
+      await processes.stop();
+      await rm(folder, { recursive: true, force: true });
+    };
+    try {
+      const plans = await planPorts(profile, options.findPorts ?? findFreePorts);
+      const cluster = await startProcesses(profile, options, plans, processes, folder);
+      return { ...cluster, stop };
+    } catch (err) {
+      await stop();
+      if (starts === MAX_STARTS) throw err;
+    }
+  }
+}
+
+async function startProcesses(
+  profile: Profile,
+  options: ClusterOptions,
+  plans: PortPlan,
+  processes: ProcessGroup,
+  folder: string,
+): Promise<Omit<Cluster, 'stop'>> {
   const daemonProgram = await prepareProgram('daemon');
   const standinProgram = await prepareProgram('standin');
-  const folder = await mkdtemp(path.join(getRunFolder(), 'cluster-'));
-  const processes = createProcessGroup();
-  const plans = await planPorts(profile);
   const { storePort, listPort } = plans;
   const startStandin = (role: object): Promise<ChildProcess> =>
     processes.start([standinProgram, JSON.stringify(role)]);
@@ -125,10 +155,6 @@
       await killChild(daemon.process);
       daemon.process = await startDaemon(daemon);
     },
-    stop: async () => {
-      await processes.stop();
-      await rm(folder, { recursive: true, force: true });
-    },
   };
 }
 
@@ -177,9 +203,12 @@
   readonly daemons: readonly DaemonPlan[];
 }
 
-async function planPorts(profile: Profile): Promise<PortPlan> {
+async function planPorts(
+  profile: Profile,
+  findPorts: (count: number) => Promise<number[]>,
+): Promise<PortPlan> {
   const targetCount = Object.values(profile.groups).flat().length;
-  const ports = await findFreePorts(2 + 2 * targetCount + 4 * profile.daemons);
+  const ports = await findPorts(2 + 2 * targetCount + 4 * profile.daemons);
   const takePort = (): number => ports.pop() ?? 0;
   return {
     storePort: takePort(),
