--- a/packages/bench/__tests__/cluster.spec.ts
+++ b/packages/bench/__tests__/cluster.spec.ts
@@ -4,19 +4,9 @@
 import * as assert from 'uvu/assert';
 import { requestStandin, startCluster } from '../src/cluster';
 import { findFreePorts } from '../src/processes';
-import type { Profile } from '../src/topology';
+import { createProfile } from './profiles';
 
-const PROFILE: Profile = {
-  name: 'cluster',
-  customer: 'customer',
-  daemons: 1,
-  failure_domains: ['a', 'b', 'c'],
-  classes: ['first'],
-  latency: { between_failure_domains_ms: 0, to_callers_ms: 0 },
-  targets: { slots: 3, connection_limit: 20, connect_ms: 5, statement_ms: 1 },
-  groups: { group: ['a', 'b', 'c'] },
-  traffic: [],
-};
+const PROFILE = createProfile('cluster', 1);
 
 /** Place of the first target's port from the end; the store and the list have started before. */
 const FIRST_TARGET = 3;
--- a/packages/bench/__tests__/processes.spec.ts
+++ b/packages/bench/__tests__/processes.spec.ts
@@ -5,7 +5,8 @@
 import { runExperiment } from '../src/experiment';
 import { failTarget, findPrimary, healTarget } from '../src/faults';
 import type { Violations } from '../src/load/plan';
-import type { Profile, Traffic } from '../src/topology';
+import type { Traffic } from '../src/topology';
+import { createProfile } from './profiles';
 
 const test = suite('guarantees while processes fail');
 
@@ -23,23 +24,13 @@
   max_age_ms: maxAgeMs,
 });
 
-const profile: Profile = {
-  name: 'processes',
-  customer: 'customer',
-  daemons: 3,
-  failure_domains: ['a', 'b', 'c'],
-  classes: ['first'],
-  latency: { between_failure_domains_ms: 0, to_callers_ms: 0 },
-  targets: { slots: 3, connection_limit: 20, connect_ms: 5, statement_ms: 1 },
-  groups: { group: ['a', 'b', 'c'] },
-  traffic: [
-    stream('insert'),
-    stream('transaction'),
-    stream('session'),
-    stream('heartbeat'),
-    stream('aged_read', 1_000),
-  ],
-};
+const profile = createProfile('processes', 3, [
+  stream('insert'),
+  stream('transaction'),
+  stream('session'),
+  stream('heartbeat'),
+  stream('aged_read', 1_000),
+]);
 
 async function checkWithFaults(injectFaults: (cluster: Cluster) => Promise<void>): Promise<void> {
   const { load } = await runExperiment({
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -72,6 +72,10 @@
   profile: Profile,
   options: ClusterOptions = {},
 ): Promise<Cluster> {
+  const programs = {
+    daemon: await prepareProgram('daemon'),
+    standin: await prepareProgram('standin'),
+  };
   for (let starts = 1; ; starts += 1) {
     const processes = createProcessGroup();
     const folder = await mkdtemp(path.join(getRunFolder(), 'cluster-'));
@@ -81,7 +85,7 @@
     };
     try {
       const plans = await planPorts(profile, options.findPorts ?? findFreePorts);
-      const cluster = await startProcesses(profile, options, plans, processes, folder);
+      const cluster = await startProcesses(profile, options, programs, plans, processes, folder);
       return { ...cluster, stop };
     } catch (err) {
       await stop();
@@ -93,15 +97,14 @@
 async function startProcesses(
   profile: Profile,
   options: ClusterOptions,
+  programs: Readonly<Record<'daemon' | 'standin', string>>,
   plans: PortPlan,
   processes: ProcessGroup,
   folder: string,
 ): Promise<Omit<Cluster, 'stop'>> {
-  const daemonProgram = await prepareProgram('daemon');
-  const standinProgram = await prepareProgram('standin');
   const { storePort, listPort } = plans;
   const startStandin = (role: object): Promise<ChildProcess> =>
-    processes.start([standinProgram, JSON.stringify(role)]);
+    processes.start([programs.standin, JSON.stringify(role)]);
   const startTargets = (
     batch: readonly TargetPlan[],
     startsEmpty: boolean,
@@ -113,7 +116,12 @@
     });
   };
   const startDaemon = (plan: DaemonPlan): Promise<ChildProcess> =>
-    processes.start([daemonProgram, 'daemon', '--settings', path.join(folder, `${plan.id}.toml`)]);
+    processes.start([
+      programs.daemon,
+      'daemon',
+      '--settings',
+      path.join(folder, `${plan.id}.toml`),
+    ]);
 
   await startStandin({ role: 'store', port: storePort });
   await startStandin({
