refactor(direct): name what records a loss of a log, test what relaxes a promotion

reviewCommit, called isLogLost before, records the loss that it finds. That every log is empty is a part of the known history now. Behaviour is unchanged.

--- a/packages/direct/__tests__/lostLogs.spec.ts
+++ b/packages/direct/__tests__/lostLogs.spec.ts
@@ -190,6 +190,30 @@
   });
 }
 
+test('targets that all start again without their logs, none of them leading, get a primary', () => {
+  const rig = createLossRig(true);
+  sendFor(rig, 'write', 100);
+  restartEmpty(rig, rig.targets, 'later');
+  rig.primary.role = 'replica';
+  assert.ok(waitForPromotion(rig, 8_000));
+});
+
+test('no target without a log is promoted while another may have one', () => {
+  const rig = createLossRig(true);
+  sendFor(rig, 'write', 100);
+  const [, , holder] = rig.targets;
+  if (!holder) throw new Error('the rig has three targets');
+  restartEmpty(
+    rig,
+    rig.targets.filter((target) => target !== holder),
+    'later',
+  );
+  rig.primary.role = 'replica';
+  holder.silent = true;
+  rig.reset(holder);
+  assert.is(waitForPromotion(rig, 8_000), undefined);
+});
+
 test('replicas stay paused while the primary has lost its log', () => {
   const rig = createLossRig(true);
   const groups = new Map([['g', { connectionLimit: 20, syncReplicas: 1 }]]);
--- a/packages/direct/src/execution.ts
+++ b/packages/direct/src/execution.ts
@@ -1,6 +1,6 @@
 import type { Millis, Position } from '@rosedeck/shared';
 import { loseConnection, sendOps } from './connections';
-import { isLogDoubted, isLogLost } from './logLoss';
+import { isLogDoubted, reviewCommit } from './logLoss';
 import { recordPrimaryProof } from './primaryTracking';
 import { logReadBound } from './readBounds';
 import {
@@ -308,7 +308,7 @@
   const isReplaced =
     needsLeader(row, wrapping) &&
     (!isStillPrimary(world, target) ||
-      isLogLost(world, target, wrote ? reply.position : undefined, sent));
+      reviewCommit(world, target, wrote ? reply.position : undefined, sent));
   if (isReplaced) {
     if (row.stage !== 'done') handleReplacedPrimary(world, hooks, row, connection, isWrapped);
     else if (!isWrapped) releaseAfterReply(world, connection, reply.inTransaction);
--- a/packages/direct/src/failover.ts
+++ b/packages/direct/src/failover.ts
@@ -1,4 +1,4 @@
-import { formatPosition, ORIGIN, positionOrd } from '@rosedeck/shared';
+import { formatPosition, positionOrd } from '@rosedeck/shared';
 import type { Millis, TargetId } from '@rosedeck/shared';
 import { isUsable } from './eligibility';
 import { demoteOutdated, driveStepDown, mayClaim } from './fencing';
@@ -8,7 +8,7 @@
 import { reviewPauses } from './pauses';
 import { presumePrimary, reviewPrimary } from './primaryTracking';
 import type { LogVerdict } from './logSafety';
-import { areLogsEmpty, coversLog, reviewLostLog } from './lostLogs';
+import { coversLog, reviewLostLog } from './lostLogs';
 import { limitChain, mayHoldDiscarded } from './promotionHistory';
 import { reviewLogs } from './promotionLogs';
 import { detectPrimaryFailure, isOutdated, trackContested } from './primaryFailure';
@@ -205,9 +205,7 @@
     abandonPromotion(world, group, obsoleteCause, now);
     return;
   }
-  const history = areLogsEmpty(group, promotion.startedAt)
-    ? { term: ORIGIN.term }
-    : knownHistory(world, group, promotion);
+  const history = knownHistory(world, group, promotion);
   const fit = candidates.filter((one) => !mayHoldDiscarded(one, history));
   const choice = chooseCandidate(fit, group.syncReplicas > 0 ? 'newest' : 'staying');
   // A target that replies late still counts while there is no other candidate.
--- a/packages/direct/src/leadership.ts
+++ b/packages/direct/src/leadership.ts
@@ -12,6 +12,16 @@
   readonly target: TargetId;
 }
 
+/** A primary that is asked to step down. */
+export interface ReplacedPrimary {
+  readonly target: TargetId;
+  readonly since: Millis;
+  askedAt: Millis;
+  steppedDown: boolean;
+  /** It led the newest leadership known before the claim, so that no other target still may. */
+  readonly ledNewest: boolean;
+}
+
 /** True when `a` supersedes `b`: a higher term, or the same term under a newer claim. */
 export function supersedes(a: Leadership, b: Leadership | undefined): boolean {
   if (a.term === b?.term) return a.token > b.token;
--- a/packages/direct/src/logLoss.ts
+++ b/packages/direct/src/logLoss.ts
@@ -4,9 +4,9 @@
 import type { SentOp, TargetRow, World } from './tables';
 
 /**
- * An entry that was in the log of a target that leads `term` when something was sent to it at `sentAt`, and
- * that its reply shows to be missing. A log only grows while its target leads, and nobody else writes
- * entries of its term: the target has started again without its log.
+ * Finds a known entry that a target must hold when it replies to what was sent at `sentAt`, and that its
+ * log, which ends at `end`, lacks. The target leads `term`: its log only grows meanwhile, and nobody else
+ * writes entries of that term, so that it has started again without its log.
  */
 function findMissingEntry(
   world: World,
@@ -77,10 +77,11 @@
 }
 
 /**
- * Reviews the position of a commit before it is acknowledged; true when the target has lost its log, so
- * that its successor will lack the commit. The entry is of the term in which the target leads.
+ * Reviews a reply before it is passed on as that of a primary, with the position of a commit if it is one;
+ * true when the target has lost its log, so that its successor will lack the commit. A commit's entry is of
+ * the term in which the target leads.
  */
-export function isLogLost(
+export function reviewCommit(
   world: World,
   target: TargetRow,
   commit: Position | undefined,
--- a/packages/direct/src/lostLogs.ts
+++ b/packages/direct/src/lostLogs.ts
@@ -59,12 +59,3 @@
 export function coversLog({ status }: TargetRow, end: Position | undefined): boolean {
   return status !== undefined && covers(status.report.received, end ?? ORIGIN);
 }
-
-/** Whether each target that a group is known to have had has told since `since` that it holds nothing. */
-export function areLogsEmpty(group: GroupRow, since: Millis): boolean {
-  if (group.missingLogs.logs.size > 0) return false;
-  return [...group.targets.values()].every(({ status, unlistedSince }) => {
-    if (!status || status.at < since || unlistedSince !== undefined) return false;
-    return covers(ORIGIN, status.report.received);
-  });
-}
--- a/packages/direct/src/promotionSurvey.ts
+++ b/packages/direct/src/promotionSurvey.ts
@@ -1,4 +1,4 @@
-import { formatPosition } from '@rosedeck/shared';
+import { covers, formatPosition, ORIGIN } from '@rosedeck/shared';
 import type { Millis } from '@rosedeck/shared';
 import { leadsOutdatedTerm } from './fencing';
 import { newestEffective } from './promotionHistory';
@@ -43,6 +43,7 @@
 
 /** What this daemon knows of the log of a group, by proofs, the survey and the claims of the store. */
 export function knownHistory(world: World, group: GroupRow, promotion: Promotion): KnownHistory {
+  if (areLogsEmpty(group, promotion)) return { term: ORIGIN.term };
   // Without a fence a claim needs a quorum, which has used the newest primary and knows its term.
   if (!world.settings.promotionsFenced) return { term: group.term };
   const claim = newestEffective(promotion.basis.claim, (one) =>
@@ -51,6 +52,15 @@
   return { term: group.term, claim: claim && mayLeadUnseen(group, claim) ? claim : undefined };
 }
 
+/** Whether each target that the group is known to have had has told the promotion that it holds nothing. */
+function areLogsEmpty({ targets, missingLogs }: GroupRow, promotion: Promotion): boolean {
+  if (missingLogs.logs.size > 0) return false;
+  return [...targets.values()].every((target) => {
+    if (target.unlistedSince !== undefined || !hasStatus(target, promotion)) return false;
+    return target.status !== undefined && covers(ORIGIN, target.status.report.received);
+  });
+}
+
 /**
  * Whether a claim counts: any that names its log does. One of an earlier release, which names none,
  * counts until its target has been seen to lead, whose term then tells the logs apart, or has left
--- a/packages/direct/src/tables.ts
+++ b/packages/direct/src/tables.ts
@@ -11,7 +11,7 @@
 } from '@rosedeck/shared';
 import type { DirectConfig, ListedTarget, Route } from './configuration';
 import type { ConnectionId, EngineIo, PoolLoad } from './engineIo';
-import type { Leadership } from './leadership';
+import type { Leadership, ReplacedPrimary } from './leadership';
 import type { PrimaryBlock } from './logEvents';
 import type { MissingLogs } from './logSafety';
 import type { FleetRow, GroupLoadTable } from './peerReport';
@@ -21,6 +21,7 @@
 import type { PositionSample, SampleHistory } from './sampleHistory';
 import type { Quotas } from './quotas/quotas';
 import type { DirectSettings } from './settings';
+import type { LogLoss, LogState, ToldPosition, ToldStatus } from './targetLog';
 import type { KeyDigest, TenantName } from './tenants';
 import type { PreparedNames } from './preparedNames';
 import type {
@@ -30,7 +31,6 @@
   SessionState,
   TargetOp,
   TargetReply,
-  TargetStatus,
 } from './statements';
 
 /** Load of a target's pool and when it was told. */
@@ -97,21 +97,6 @@
   onLost?: (reason: LossReason) => void;
 }
 
-/**
- * What the replies of a target tell of its log, if it leads. `told`: a position; `untold`: none, so that
- * only its status does; `doubted`: one before an earlier one, until its status has shown why.
- */
-export type LogState = 'told' | 'untold' | 'doubted';
-
-/** The loss of a target's log, as one that leads has shown it. */
-export interface LogLoss {
-  /** Term in which it led. */
-  readonly term: number;
-  /** An entry that it does not have any more. */
-  readonly missing: Position;
-  readonly at: Millis;
-}
-
 /** State of a target, as this daemon has observed it. */
 export interface TargetRow {
   listed: ListedTarget;
@@ -156,8 +141,7 @@
   ledTerm?: number;
   /** When the target last replied that it is not the primary. */
   notPrimaryAt: Millis;
-  /** Its last status, when that was requested, and when it arrived. */
-  status?: { readonly report: TargetStatus; readonly at: Millis; readonly heardAt: Millis };
+  status?: ToldStatus;
   /** When its status was last requested for a promotion. */
   statusRequestedAt: Millis;
   /** When it was last told to receive again. */
@@ -166,12 +150,8 @@
   heldSince?: { readonly term: number; readonly at: Millis };
   /** When it was last asked to step down as one that leads an outdated term. */
   stepDownAskedAt: Millis;
-  /** Applied position in the newest reply, when the operation was sent, and when the reply arrived. */
-  lastPosition?: {
-    readonly position: Position;
-    readonly sentAt: Millis;
-    readonly heardAt: Millis;
-  };
+  /** Applied position in the newest reply. */
+  lastPosition?: ToldPosition;
   readonly rating: LatencyRating;
   /** When the target last replied to a statement. */
   lastStatementDoneAt: Millis;
@@ -195,16 +175,6 @@
   value: number;
 }
 
-/** A primary that is asked to step down. */
-export interface ReplacedPrimary {
-  readonly target: TargetId;
-  readonly since: Millis;
-  askedAt: Millis;
-  steppedDown: boolean;
-  /** It led the newest leadership known before the claim, so that no other target still may. */
-  readonly ledNewest: boolean;
-}
-
 /** A database group that the configuration routes to. */
 export interface GroupRow {
   readonly id: GroupId;
